--- a/api/messages.go
+++ b/api/messages.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/config"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // OperatorHeader carries the operator's name, for the audit trail.
@@ -215,9 +215,9 @@
 
 // Usage is the usage of one window. Sealed figures never change.
 type Usage struct {
-	Window int64                `json:"window"`
-	Sealed bool                 `json:"sealed"`
-	Teams  []platform.TeamUsage `json:"teams"`
+	Window int64             `json:"window"`
+	Sealed bool              `json:"sealed"`
+	Teams  []infra.TeamUsage `json:"teams"`
 }
 
 // StepStatus is one rollout step.
--- a/attempt/answer.go
+++ b/attempt/answer.go
@@ -19,11 +19,12 @@
 	// Length is the body's length in bytes, or -1 if unknown.
 	Length int64
 
-	pool  *Pool
-	conn  *conn
-	call  *Call
-	ctx   context.Context
-	timer *time.Timer
+	pool    *Pool
+	dialect Dialect
+	conn    *conn
+	call    *Call
+	ctx     context.Context
+	timer   *time.Timer
 	// silent is set when the clock on silence ran out.
 	silent atomic.Bool
 	resp   *http.Response
@@ -41,9 +42,18 @@
 
 // CopyHeader adds to dst what may be passed on of the answer's header.
 func (a *Answer) CopyHeader(dst http.Header) {
-	copyAllowed(dst, a.resp.Header, answerHeaders)
+	if !a.dialect.PassHeaders {
+		copyAllowed(dst, a.resp.Header, answerHeaders)
+		return
+	}
+	for name, values := range passed(a.resp.Header) {
+		dst[name] = values
+	}
 }
 
+// Header returns the answer's header, which must not be changed.
+func (a *Answer) Header() http.Header { return a.resp.Header }
+
 // CachedPrompt returns how many bytes of the prompt the endpoint says that it had
 // cached, if it says so.
 func (a *Answer) CachedPrompt() (bytes int, ok bool) {
@@ -61,8 +71,7 @@
 // Refused reports whether the endpoint says that it did no work on the
 // request.
 func (a *Answer) Refused() bool {
-	refusal := a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
-	return refusal && a.done && a.resp.Header.Get(engine.NotRunHeader) == "true"
+	return a.done && a.dialect.refused(a.Status, a.resp.Header)
 }
 
 // Read reads a part of the body. Its errors other than io.EOF are *code.Error.
--- a/attempt/call.go
+++ b/attempt/call.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cumincove/cumincove/code"
-	"github.com/cumincove/cumincove/engine"
 )
 
 // wholeBytes bounds answers that are read whole before they are passed on, so
@@ -20,8 +19,10 @@
 
 // Call is one attempt of a request at one endpoint.
 type Call struct {
-	// Addr is the endpoint's IP address and port.
+	// Addr is the endpoint's IP address and port, and Host the header of that
+	// name; empty means Addr.
 	Addr   string
+	Host   string
 	Method string
 	// Path, RawPath and RawQuery are those of an url.URL.
 	Path     string
@@ -65,7 +66,7 @@
 		p.put(c)
 		return nil, err
 	}
-	a := &Answer{pool: p, conn: c, call: call, ctx: ctx}
+	a := &Answer{pool: p, dialect: p.opt.Dialect, conn: c, call: call, ctx: ctx}
 	a.timer = time.AfterFunc(call.FirstByte, a.giveUp)
 	if err := a.start(); err != nil {
 		a.Close()
@@ -75,7 +76,7 @@
 }
 
 func (a *Answer) start() error {
-	resp, err := a.conn.cc.RoundTrip(a.call.request(a.ctx))
+	resp, err := a.conn.cc.RoundTrip(a.call.request(a.ctx, a.dialect))
 	if err != nil {
 		return a.fail(code.EndpointLost, code.FirstByteTimeout, err)
 	}
@@ -112,8 +113,10 @@
 
 // check refuses an answer that is another request's or has no marked end.
 func (a *Answer) check() error {
-	id := a.resp.Header.Get(engine.RequestIDHeader)
-	mustEcho := a.call.MustEcho || a.conn.host.echoes.Load()
+	dialect := a.dialect
+	id := a.resp.Header.Get(dialect.IDHeader)
+	// A server that was not meant knows nothing of the request.
+	mustEcho := (a.call.MustEcho || a.conn.host.echoes.Load()) && a.resp.StatusCode != http.StatusMisdirectedRequest
 	if id != a.call.ID && (id != "" || mustEcho) {
 		return code.New(code.AnswerMismatch, "endpoint %s answered another request", a.call.Addr)
 	}
@@ -123,6 +126,9 @@
 	if id != "" {
 		a.conn.host.echoes.Store(true)
 	}
+	if err := a.checkContent(dialect); err != nil {
+		return err
+	}
 	marked := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
 	if !marked && a.resp.Body != http.NoBody {
 		return code.New(code.AnswerTruncated, "endpoint %s does not mark the end of its answer", a.call.Addr)
@@ -130,15 +136,29 @@
 	return nil
 }
 
-func (call *Call) request(ctx context.Context) *http.Request {
+// checkContent refuses an answer whose body is not the endpoint's own.
+func (a *Answer) checkContent(d Dialect) error {
+	h := a.resp.Header
+	success := a.resp.StatusCode >= 200 && a.resp.StatusCode < 300
+	switch {
+	case d.StampHeader != "" && success && h.Get(d.StampHeader) == "":
+		return code.New(code.AnswerMismatch, "endpoint %s answered without its stamp", a.call.Addr)
+	case d.Strict && h.Get("Content-Encoding") != "":
+		return code.New(code.AnswerMismatch, "endpoint %s encoded its answer", a.call.Addr)
+	}
+	return nil
+}
+
+func (call *Call) request(ctx context.Context, d Dialect) *http.Request {
 	h := call.Header
-	h[engine.RequestIDHeader] = []string{call.ID}
+	h[d.IDHeader] = []string{call.ID}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = []string{""}
 	}
 	r := &http.Request{
 		Method:        call.Method,
 		URL:           &url.URL{Scheme: "http", Host: call.Addr, Path: call.Path, RawPath: call.RawPath, RawQuery: call.RawQuery},
+		Host:          call.Host,
 		Header:        h,
 		Body:          http.NoBody,
 		ContentLength: int64(len(call.Body)),
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -15,6 +15,8 @@
 type Options struct {
 	Clock clock.Clock
 	Dial  DialFunc
+	// Dialect is how the endpoints are spoken to.
+	Dialect Dialect
 	// Connect bounds the time to open a connection.
 	Connect time.Duration
 	// Idle is how long an unused connection is kept. It must be shorter than
@@ -31,6 +33,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Clock:    clock.Boot{},
+		Dialect:  DefaultDialect(),
 		Dial:     WithUserTimeout(new(net.Dialer).DialContext, 5*time.Second),
 		Connect:  time.Second,
 		Idle:     5 * time.Second,
@@ -67,6 +70,9 @@
 
 // NewPool returns an empty Pool.
 func NewPool(opt Options) *Pool {
+	if opt.Dialect == (Dialect{}) {
+		opt.Dialect = DefaultDialect()
+	}
 	return &Pool{
 		opt: opt,
 		tr: &http.Transport{
@@ -77,6 +83,9 @@
 	}
 }
 
+// Dialect returns how the endpoints are spoken to.
+func (p *Pool) Dialect() Dialect { return p.opt.Dialect }
+
 // get returns a connection, an unused one if one was used within maxIdle.
 func (p *Pool) get(ctx context.Context, addr string, fresh bool, maxIdle time.Duration) (*conn, error) {
 	h := p.use(addr)
--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -11,13 +11,17 @@
 	"os/signal"
 	"runtime"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cumincove/cumincove/attempt"
 	"github.com/cumincove/cumincove/clock"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/daemon"
 	"github.com/cumincove/cumincove/internal/telemetry"
-	"github.com/cumincove/cumincove/platform/httpapi"
+	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/settings"
+	"github.com/uber-go/tally/v4"
 )
 
 func main() {
@@ -42,7 +46,32 @@
 		return err
 	}
 	runtime.GOMAXPROCS(min(s.Limits.Processors, runtime.GOMAXPROCS(0)))
-	log := slog.New(slog.NewJSONHandler(os.Stderr, nil)).With("instance", s.Name)
+	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("instance", s.Name)
+	scope, metrics, closer := telemetry.New(s.Name)
+	defer closer.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	run := runOwn
+	if s.Platform.Kind == settings.KindManaged {
+		run = runManaged
+	}
+	if err := run(ctx, instance{s, log, scope, metrics}); err != nil {
+		return fmt.Errorf("run instance %s: %w", s.Name, err)
+	}
+	return nil
+}
+
+// instance is what both kinds of instance are made of.
+type instance struct {
+	settings settings.Settings
+	log      *slog.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+}
+
+// runOwn runs an instance that its own operators' interface configures.
+func runOwn(ctx context.Context, in instance) error {
+	s := in.settings
 	platformToken, err := settings.Secret(s.Platform.TokenEnv)
 	if err != nil {
 		return fmt.Errorf("platform.token_env: %w", err)
@@ -51,31 +80,50 @@
 	if err != nil {
 		return fmt.Errorf("operators.token_env: %w", err)
 	}
-	certificates, err := daemon.LoadTLS(s.TLS, log)
+	certificates, err := daemon.LoadTLS(s.TLS, in.log)
 	if err != nil {
 		return err
 	}
-	scope, metrics, closer := telemetry.New(s.Name)
-	defer closer.Close()
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	dial := (&net.Dialer{}).DialContext
 	hc := &http.Client{Transport: httpapi.NewTransport(dial)}
-	d := daemon.New(daemon.Deps{
+	return daemon.New(daemon.Deps{
 		Settings:      s,
 		Platform:      httpapi.New(s.Platform.URL, hc, platformToken),
 		Clock:         clock.Boot{},
-		Log:           log,
-		Scope:         scope,
-		Metrics:       metrics,
+		Log:           in.log,
+		Scope:         in.scope,
+		Metrics:       in.metrics,
 		Listen:        net.Listen,
 		Dial:          dial,
 		TLS:           certificates,
 		OperatorToken: operatorToken,
-	})
-	if err := d.Run(ctx); err != nil {
-		return fmt.Errorf("run instance %s: %w", s.Name, err)
-	}
-	return nil
+	}).Run(ctx)
+}
+
+// runManaged runs an instance on a managed platform.
+func runManaged(ctx context.Context, in instance) error {
+	s := in.settings
+	dial := (&net.Dialer{}).DialContext
+	opt := attempt.DefaultOptions()
+	opt.Dialect = platform.Dialect()
+	pool := attempt.NewPool(opt)
+	return daemon.NewManaged(daemon.ManagedDeps{
+		Settings: s,
+		Platform: platform.New(platform.Options{
+			StoreURL:    s.Platform.URL,
+			DutiesURL:   s.Platform.DutiesURL,
+			UsageWindow: time.Duration(s.Timing.UsageWindow),
+			Dial:        dial,
+			Pool:        pool,
+			Log:         in.log,
+			Scope:       in.scope,
+		}),
+		Adapter: platform.Callers{},
+		Clock:   clock.Boot{},
+		Log:     in.log,
+		Scope:   in.scope,
+		Metrics: in.metrics,
+		Network: daemon.Network{Listen: net.Listen, Dial: dial},
+		Pool:    pool,
+	}).Run(ctx)
 }
--- a/config/model.go
+++ b/config/model.go
@@ -104,6 +104,65 @@
 	Pools []Pool `json:"pools,omitempty"`
 }
 
+// RouteKind says what a route's requests are and what may be repeated.
+type RouteKind string
+
+// The kinds of route.
+const (
+	// RouteIdempotent requests may run more than once.
+	RouteIdempotent RouteKind = "idempotent"
+	// RouteOnce requests may run at most once.
+	RouteOnce RouteKind = "once"
+	// RouteStream requests are answered by a stream of events.
+	RouteStream RouteKind = "stream"
+	// RouteRollout takes rollout steps.
+	RouteRollout RouteKind = "rollout"
+)
+
+// Route sends the requests of a host and path to services.
+type Route struct {
+	Name string    `json:"name"`
+	Host string    `json:"host"`
+	Path string    `json:"path"`
+	Kind RouteKind `json:"kind"`
+	// Targets are the services; a request goes to one of them by weight.
+	Targets []RouteTarget `json:"targets"`
+	// Open routes need no key.
+	Open bool `json:"open,omitempty"`
+	// Resumable streams may go on at another endpoint.
+	Resumable bool `json:"resumable,omitempty"`
+	// Priority ranks the route; 0 is served first.
+	Priority int `json:"priority,omitempty"`
+	// MaxAttempts bounds the endpoints that one request, or one sample's
+	// failures, may reach. Zero means the default.
+	MaxAttempts int `json:"max_attempts,omitempty"`
+	// Timeout bounds a request; zero means no bound of the route's own.
+	Timeout Duration `json:"timeout,omitempty"`
+	// Objective is the latency within which an answer is worth most.
+	Objective Duration `json:"objective,omitempty"`
+	// StepTime is when the results of a step are due after it was submitted.
+	StepTime Duration `json:"step_time,omitempty"`
+	// SampleTime is when a sample of a step may be given up.
+	SampleTime Duration `json:"sample_time,omitempty"`
+	// SingleVersion samples must be generated under one weight version.
+	SingleVersion bool `json:"single_version,omitempty"`
+}
+
+// RouteTarget is a service and its share of a route's requests.
+type RouteTarget struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// RequestLimits bounds what callers may send and for how long. Zero values mean
+// that the daemon's settings decide alone.
+type RequestLimits struct {
+	HeaderBytes int      `json:"header_bytes,omitempty"`
+	BodyBytes   int64    `json:"body_bytes,omitempty"`
+	HeaderTime  Duration `json:"header_time,omitempty"`
+	IdleTime    Duration `json:"idle_time,omitempty"`
+}
+
 // Pool bounds the endpoints of one tier and data centre that a service may
 // have running.
 type Pool struct {
--- a/config/state.go
+++ b/config/state.go
@@ -14,6 +14,11 @@
 	Services  map[string]Service  `json:"services"`
 	Endpoints map[string]Endpoint `json:"endpoints"`
 	Members   map[string]Member   `json:"members"`
+	// Routes sends requests by host and path, on platforms whose operators
+	// state routes.
+	Routes []Route `json:"routes,omitempty"`
+	// Limits bounds what callers may send there.
+	Limits RequestLimits `json:"limits,omitzero"`
 	// MembersChangedAt is the version that last changed the set of members.
 	MembersChangedAt uint64 `json:"members_changed_at"`
 }
@@ -61,6 +66,8 @@
 		Services:  maps.Clone(s.Services),
 		Endpoints: maps.Clone(s.Endpoints),
 		Members:   maps.Clone(s.Members),
+		Routes:    s.Routes,
+		Limits:    s.Limits,
 
 		MembersChangedAt: s.MembersChangedAt,
 	}
--- a/controller/configuration/commit.go
+++ b/controller/configuration/commit.go
@@ -11,7 +11,7 @@
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/freshness"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/google/uuid"
 )
 
@@ -146,9 +146,9 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return errLost
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, infra.ErrUnknownOutcome):
 		return c.resolve(ctx, l, headRow)
 	default:
 		return code.Wrap(code.StoreDown, err, "commit change")
@@ -163,7 +163,7 @@
 	if err != nil {
 		return code.Wrap(code.Internal, err, "encode head")
 	}
-	err = c.o.Table.Commit(ctx, platform.PutIf(headKey, headRow, value))
+	err = c.o.Table.Commit(ctx, infra.PutIf(headKey, headRow, value))
 	if err == nil {
 		return code.New(code.StoreDown, "the change was lost on its way to the store")
 	}
--- a/controller/configuration/controller.go
+++ b/controller/configuration/controller.go
@@ -11,7 +11,7 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/freshness"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/view"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/semaphore"
@@ -47,9 +47,9 @@
 type Options struct {
 	// Self is this instance's name.
 	Self  string
-	Table platform.Table
+	Table infra.Table
 	// Objects keeps the snapshots. Without it none are written or read.
-	Objects platform.Objects
+	Objects infra.Objects
 	Views   *view.Store
 	Clock   clock.Clock
 	Log     *slog.Logger
--- a/controller/configuration/controller_test.go
+++ b/controller/configuration/controller_test.go
@@ -13,8 +13,8 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"pgregory.net/rapid"
 )
@@ -35,20 +35,20 @@
 // racingTable makes the next commit's outcome unknown and lets another commit
 // in before its caller can look, or lets the request arrive only later.
 type racingTable struct {
-	platform.Table
+	infra.Table
 	then func()
 	late bool
-	held []platform.Op
+	held []infra.Op
 }
 
-func (r *racingTable) Commit(ctx context.Context, ops ...platform.Op) error {
+func (r *racingTable) Commit(ctx context.Context, ops ...infra.Op) error {
 	if r.late {
 		r.late = false
 		r.held = ops
-		return platform.ErrUnknownOutcome
+		return infra.ErrUnknownOutcome
 	}
 	err := r.Table.Commit(ctx, ops...)
-	if then := r.then; errors.Is(err, platform.ErrUnknownOutcome) && then != nil {
+	if then := r.then; errors.Is(err, infra.ErrUnknownOutcome) && then != nil {
 		r.then = nil
 		then()
 	}
--- a/controller/configuration/rows.go
+++ b/controller/configuration/rows.go
@@ -6,7 +6,7 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/config"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // Keys of the store's rows.
@@ -39,7 +39,7 @@
 
 // commitOps is the transaction of one change. headRow is the head row's
 // version in the table, zero when the row does not exist.
-func commitOps(headRow uint64, l logRow, a api.AuditRow) ([]platform.Op, error) {
+func commitOps(headRow uint64, l logRow, a api.AuditRow) ([]infra.Op, error) {
 	v := l.Change.Version
 	headValue, err := json.Marshal(head{Version: v})
 	if err != nil {
@@ -53,9 +53,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode audit row: %w", err)
 	}
-	return []platform.Op{
-		platform.PutIf(headKey, headRow, headValue),
-		platform.PutIf(logKey(v), 0, logValue),
-		platform.PutIf(auditKey(v), 0, auditValue),
+	return []infra.Op{
+		infra.PutIf(headKey, headRow, headValue),
+		infra.PutIf(logKey(v), 0, logValue),
+		infra.PutIf(auditKey(v), 0, auditValue),
 	}, nil
 }
--- a/controller/configuration/snapshot.go
+++ b/controller/configuration/snapshot.go
@@ -9,7 +9,7 @@
 	"fmt"
 
 	"github.com/cumincove/cumincove/config"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -77,7 +77,7 @@
 // there is none.
 func (c *Controller) readSnapshotRow(ctx context.Context) (snapshotRow, uint64, error) {
 	row, err := c.o.Table.Get(ctx, snapshotKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return snapshotRow{}, 0, nil
 	}
 	if err != nil {
--- a/controller/configuration/snapshot_test.go
+++ b/controller/configuration/snapshot_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"pgregory.net/rapid"
 )
@@ -29,11 +29,11 @@
 
 // interposedTable calls before, once, ahead of the next commit.
 type interposedTable struct {
-	platform.Table
+	infra.Table
 	before func()
 }
 
-func (i *interposedTable) Commit(ctx context.Context, ops ...platform.Op) error {
+func (i *interposedTable) Commit(ctx context.Context, ops ...infra.Op) error {
 	if before := i.before; before != nil {
 		i.before = nil
 		before()
@@ -137,7 +137,7 @@
 	p    *fakeplatform.Platform
 	cs   []*Controller
 	h    *history
-	held [][]platform.Op
+	held [][]infra.Op
 }
 
 func (m *snapshotModel) pick(t *rapid.T) *Controller {
@@ -246,7 +246,7 @@
 	commitTeams(t, c, testEvery)
 	ended := &racingTable{Table: c.o.Table, late: true} // the row's request is never executed
 	c.o.Table = ended
-	if err := c.snapshot(context.Background()); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if err := c.snapshot(context.Background()); !errors.Is(err, infra.ErrUnknownOutcome) {
 		t.Fatalf("got %v, want ErrUnknownOutcome", err)
 	}
 	if _, ok := p.Row(snapshotKey); ok {
@@ -290,7 +290,7 @@
 	if err := b.dropPassed(context.Background(), testEvery); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.readSnapshot(context.Background(), testEvery); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := b.readSnapshot(context.Background(), testEvery); !errors.Is(err, infra.ErrNotFound) {
 		t.Errorf("passed object: got %v, want ErrNotFound", err)
 	}
 	if _, err := b.readSnapshot(context.Background(), testEvery+1); err != nil {
--- a/controller/configuration/snapshot_write.go
+++ b/controller/configuration/snapshot_write.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -85,7 +85,7 @@
 // putSnapshot writes the object. An unknown outcome is resolved by reading.
 func (c *Controller) putSnapshot(ctx context.Context, version uint64, data []byte) error {
 	err := c.o.Objects.Put(ctx, snapshotName(version), data)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, infra.ErrUnknownOutcome) {
 		var found []byte
 		found, err = c.o.Objects.Get(ctx, snapshotName(version))
 		if err == nil && !bytes.Equal(found, data) {
@@ -106,11 +106,11 @@
 	if err != nil {
 		return fmt.Errorf("encode snapshot row: %w", err)
 	}
-	err = c.o.Table.Commit(ctx, platform.PutIf(snapshotKey, rowVersion, value))
-	if errors.Is(err, platform.ErrConflict) {
+	err = c.o.Table.Commit(ctx, infra.PutIf(snapshotKey, rowVersion, value))
+	if errors.Is(err, infra.ErrConflict) {
 		return errPassed
 	}
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	if !errors.Is(err, infra.ErrUnknownOutcome) {
 		return err
 	}
 	found, foundVersion, readErr := c.readSnapshotRow(ctx)
@@ -160,10 +160,10 @@
 		if err != nil {
 			return fmt.Errorf("read configuration log: %w", err)
 		}
-		ops := []platform.Op{platform.Check(snapshotKey, rowVersion)}
+		ops := []infra.Op{infra.Check(snapshotKey, rowVersion)}
 		for _, row := range rows {
 			if row.Key <= logKey(r.Previous) {
-				ops = append(ops, platform.Delete(row.Key))
+				ops = append(ops, infra.Delete(row.Key))
 			}
 		}
 		if len(ops) == 1 {
--- a/controller/configuration/start_test.go
+++ b/controller/configuration/start_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
 )
 
 const (
@@ -21,11 +21,11 @@
 
 // timedTable adds up the time that its calls take.
 type timedTable struct {
-	platform.Table
+	infra.Table
 	spent time.Duration
 }
 
-func (t *timedTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *timedTable) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	started := time.Now()
 	rows, err := t.Table.List(ctx, prefix, after, limit)
 	t.spent += time.Since(started)
--- a/controller/configuration/sync.go
+++ b/controller/configuration/sync.go
@@ -8,8 +8,8 @@
 	"slices"
 
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/invariant"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -38,7 +38,7 @@
 
 func (c *Controller) readHead(ctx context.Context) (head, uint64, error) {
 	row, err := c.o.Table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return head{}, 0, nil
 	}
 	if err != nil {
@@ -100,7 +100,7 @@
 	return fmt.Errorf("store serves version %d, below the installed %d", served, installed)
 }
 
-func fold(s *config.State, rows []platform.Row, upTo uint64) (*config.State, []config.Change, error) {
+func fold(s *config.State, rows []infra.Row, upTo uint64) (*config.State, []config.Change, error) {
 	var changes []config.Change
 	for _, row := range rows {
 		if s.Version == upTo {
--- a/controller/deduplication/batch.go
+++ b/controller/deduplication/batch.go
@@ -6,7 +6,7 @@
 
 	"github.com/cumincove/cumincove/dedup"
 	"github.com/cumincove/cumincove/effect"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -91,7 +91,7 @@
 	var alone, together []*claimWrite
 	generation := batch[0].w.Generation
 	names := map[string]bool{}
-	ops := []platform.Op{platform.Check(generationKey, generation)}
+	ops := []infra.Op{infra.Check(generationKey, generation)}
 	for _, c := range batch {
 		if names[c.name] || c.w.Generation != generation {
 			alone = append(alone, c)
@@ -101,7 +101,7 @@
 		together = append(together, c)
 		ops = append(ops, claimOps(c.name, c.w)...)
 	}
-	o := platform.EffectOf(b.rows.table.Commit(ctx, ops...))
+	o := infra.EffectOf(b.rows.table.Commit(ctx, ops...))
 	if o == effect.Conflict && len(together) > 1 {
 		alone = append(alone, together...)
 		together = nil
@@ -111,7 +111,7 @@
 	}
 	var wg sync.WaitGroup
 	for _, c := range alone {
-		wg.Go(func() { c.done <- platform.EffectOf(b.rows.claim(ctx, c.name, c.w)) })
+		wg.Go(func() { c.done <- infra.EffectOf(b.rows.claim(ctx, c.name, c.w)) })
 	}
 	wg.Wait()
 }
--- a/controller/deduplication/controller.go
+++ b/controller/deduplication/controller.go
@@ -16,7 +16,7 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/controller/leases"
 	"github.com/cumincove/cumincove/dedup"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/view"
 	"github.com/uber-go/tally/v4"
 )
@@ -34,7 +34,7 @@
 
 // Options says what a Controller works with.
 type Options struct {
-	Table platform.Table
+	Table infra.Table
 	Views *view.Store
 	Clock clock.Clock
 	Log   *slog.Logger
--- a/controller/deduplication/recorder.go
+++ b/controller/deduplication/recorder.go
@@ -8,7 +8,7 @@
 
 	"github.com/cumincove/cumincove/dedup"
 	"github.com/cumincove/cumincove/effect"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -137,11 +137,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	ops := make([]platform.Op, len(batch))
+	ops := make([]infra.Op, len(batch))
 	for i, rec := range batch {
-		ops[i] = platform.PutJSON(rowKey(rec.put.Place.Generation, rec.name), rec.put.Place.Version, rec.put.Row)
+		ops[i] = infra.PutJSON(rowKey(rec.put.Place.Generation, rec.name), rec.put.Place.Version, rec.put.Row)
 	}
-	o := platform.EffectOf(r.rows.table.Commit(ctx, ops...))
+	o := infra.EffectOf(r.rows.table.Commit(ctx, ops...))
 	for _, rec := range batch {
 		if o == effect.Conflict && len(batch) > 1 {
 			rec.alone = true
--- a/controller/deduplication/rows.go
+++ b/controller/deduplication/rows.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"github.com/cumincove/cumincove/dedup"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -21,7 +21,7 @@
 
 // rows maps generations and claims to rows of the table.
 type rows struct {
-	table platform.Table
+	table infra.Table
 }
 
 // name is the part of a row's key that names the request.
@@ -39,31 +39,31 @@
 }
 
 func (r rows) newest(ctx context.Context) (g dedup.Generation, err error) {
-	g.Number, err = platform.GetJSON(ctx, r.table, generationKey, &g.Promise)
+	g.Number, err = infra.GetJSON(ctx, r.table, generationKey, &g.Promise)
 	return g, err
 }
 
 func (r rows) bump(ctx context.Context, b dedup.Bump) error {
-	return r.table.Commit(ctx, platform.PutJSON(generationKey, b.IfVersion, b.Promise))
+	return r.table.Commit(ctx, infra.PutJSON(generationKey, b.IfVersion, b.Promise))
 }
 
 // versioned reads the row of a request in one generation.
 func (r rows) versioned(ctx context.Context, generation uint64, name string) (v dedup.Versioned, err error) {
-	v.Version, err = platform.GetJSON(ctx, r.table, rowKey(generation, name), &v.Row)
+	v.Version, err = infra.GetJSON(ctx, r.table, rowKey(generation, name), &v.Row)
 	return v, err
 }
 
 // claim carries out a claim's write alone.
 func (r rows) claim(ctx context.Context, name string, w dedup.Write) error {
-	fence := platform.Check(generationKey, w.Generation)
+	fence := infra.Check(generationKey, w.Generation)
 	return r.table.Commit(ctx, append(claimOps(name, w), fence)...)
 }
 
 // claimOps are the steps of a claim's write but for the check of its generation.
-func claimOps(name string, w dedup.Write) []platform.Op {
-	return []platform.Op{
-		platform.Check(rowKey(w.Generation-1, name), w.IfBefore),
-		platform.PutJSON(rowKey(w.Generation, name), w.IfVersion, w.Row),
+func claimOps(name string, w dedup.Write) []infra.Op {
+	return []infra.Op{
+		infra.Check(rowKey(w.Generation-1, name), w.IfBefore),
+		infra.PutJSON(rowKey(w.Generation, name), w.IfVersion, w.Row),
 	}
 }
 
@@ -87,13 +87,13 @@
 	if err != nil {
 		return 0, err
 	}
-	var ops []platform.Op
+	var ops []infra.Op
 	for _, row := range page {
 		g, err := generationOf(row.Key)
 		if err != nil || g >= counts {
 			break
 		}
-		ops = append(ops, platform.Delete(row.Key))
+		ops = append(ops, infra.Delete(row.Key))
 	}
 	if len(ops) == 0 {
 		return 0, nil
--- a/controller/endpoints/controller.go
+++ b/controller/endpoints/controller.go
@@ -13,14 +13,14 @@
 	"github.com/cumincove/cumincove/capacity"
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/controller/leases"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/view"
 )
 
 // Options says what a Controller works with.
 type Options struct {
-	Table     platform.Table
-	Endpoints platform.Endpoints
+	Table     infra.Table
+	Endpoints infra.Endpoints
 	Keeper    *leases.Keeper
 	Views     *view.Store
 	Clock     clock.Clock
@@ -127,7 +127,7 @@
 // publish puts what is known to run in all data centres into the snapshot, and
 // lets the sites act on it. It needs mu.
 func (c *Controller) publish() {
-	var all []platform.RunningEndpoint
+	var all []infra.RunningEndpoint
 	for _, w := range c.watches {
 		list, _ := w.List()
 		all = append(all, list...)
--- a/controller/endpoints/endpoints_test.go
+++ b/controller/endpoints/endpoints_test.go
@@ -17,9 +17,9 @@
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/controller/endpoints"
 	"github.com/cumincove/cumincove/controller/leases"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/internal/systemtest"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -34,9 +34,9 @@
 // observations counts those of all instances.
 var observations atomic.Int64
 
-type counted struct{ platform.Endpoints }
+type counted struct{ infra.Endpoints }
 
-func (c counted) Observe(ctx context.Context, dataCentre string) ([]platform.RunningEndpoint, error) {
+func (c counted) Observe(ctx context.Context, dataCentre string) ([]infra.RunningEndpoint, error) {
 	observations.Add(1)
 	return c.Endpoints.Observe(ctx, dataCentre)
 }
--- a/controller/endpoints/rows.go
+++ b/controller/endpoints/rows.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"strings"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/lease"
 	"github.com/cumincove/cumincove/order"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // rowPage is the number of rows read at a time.
@@ -51,7 +51,7 @@
 	return order.Loaded{Rows: rows}
 }
 
-func (s *site) decode(row platform.Row, into map[order.Set]order.Stored) error {
+func (s *site) decode(row infra.Row, into map[order.Set]order.Stored) error {
 	service, tier, ok := strings.Cut(strings.TrimPrefix(row.Key, s.prefix()), "/")
 	if !ok {
 		return fmt.Errorf("row %s has no tier", row.Key)
@@ -68,14 +68,14 @@
 func (s *site) write(ctx context.Context, w order.Write) error {
 	value, err := json.Marshal(w.Intent)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	return s.duty.Do(ctx, func(ctx context.Context, epoch uint64) error {
 		if epoch != w.Intent.Epoch {
 			return lease.ErrNotHeld
 		}
 		return s.c.o.Table.Commit(ctx,
-			platform.PutIf(s.key(w.Set), w.IfVersion, value),
+			infra.PutIf(s.key(w.Set), w.IfVersion, value),
 			s.duty.Duty().Fence(epoch))
 	})
 }
--- a/controller/endpoints/site.go
+++ b/controller/endpoints/site.go
@@ -10,10 +10,10 @@
 	"github.com/cumincove/cumincove/capacity"
 	"github.com/cumincove/cumincove/controller/leases"
 	"github.com/cumincove/cumincove/effect"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/invariant"
 	"github.com/cumincove/cumincove/lease"
 	"github.com/cumincove/cumincove/order"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // maxSteps bounds the actions of one pass, so that an observation comes in
@@ -138,7 +138,7 @@
 // take publishes an observation. What the holder finds changed, such as a
 // reclaim notice, is told at once, and so is the first one of its term: without
 // it the list counts as old elsewhere.
-func (s *site) take(begun, epoch uint64, list []platform.RunningEndpoint) {
+func (s *site) take(begun, epoch uint64, list []infra.RunningEndpoint) {
 	s.c.mu.Lock()
 	first := epoch > s.watch.epoch
 	changed := s.watch.Observed(s.c.o.Clock.Now(), begun, epoch, list)
@@ -191,7 +191,7 @@
 }
 
 func (s *site) send(ctx context.Context, a order.Send) effect.Outcome {
-	o := platform.EndpointOrder{
+	o := infra.EndpointOrder{
 		ID:         a.Intent.ID,
 		DataCentre: s.dataCentre,
 		Service:    a.Set.Service,
@@ -209,15 +209,15 @@
 	s.assertAlone(o, err)
 	s.log.Info("endpoint order", "id", o.ID, "count", o.Count, "epoch", o.Epoch, "error", err)
 	s.ordered.Inc(1)
-	if !platform.Definite(err) && !errors.Is(err, lease.ErrNotHeld) {
+	if !infra.Definite(err) && !errors.Is(err, lease.ErrNotHeld) {
 		s.unknown.Inc(1)
 	}
 	return leases.EffectOf(err)
 }
 
 // assertAlone asserts that no later holder gave orders while this one may.
-func (s *site) assertAlone(o platform.EndpointOrder, err error) {
-	stale := errors.Is(err, platform.ErrStaleEpoch) && s.duty.Guard().Check(o.Epoch) == nil
+func (s *site) assertAlone(o infra.EndpointOrder, err error) {
+	stale := errors.Is(err, infra.ErrStaleEpoch) && s.duty.Guard().Check(o.Epoch) == nil
 	invariant.Check(invariant.OneOrderer, !stale,
 		"order %s of epoch %d refused as stale while the lease is held", o.ID, o.Epoch)
 }
--- a/controller/endpoints/spend.go
+++ b/controller/endpoints/spend.go
@@ -7,8 +7,8 @@
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/capacity"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/order"
-	"github.com/cumincove/cumincove/platform"
 )
 
 const (
@@ -144,10 +144,10 @@
 }
 
 // liveCounts counts the endpoints that are not to be reclaimed.
-func liveCounts(list []platform.RunningEndpoint) map[order.Set]int {
+func liveCounts(list []infra.RunningEndpoint) map[order.Set]int {
 	counts := map[order.Set]int{}
 	for _, e := range list {
-		if e.State != platform.EndpointReclaiming {
+		if e.State != infra.EndpointReclaiming {
 			counts[order.Set{Service: e.Service, Tier: e.Tier}]++
 		}
 	}
--- a/controller/endpoints/tell.go
+++ b/controller/endpoints/tell.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // Fill adds the words that are new, to an answer only those that its request
@@ -83,13 +83,13 @@
 func fromProto(r *gossipv1.Running) Word {
 	w := Word{Epoch: r.GetEpoch(), Seq: r.GetSeq(), Digest: r.GetDigest(), Gone: r.GetGone()}
 	for _, e := range r.GetEndpoints() {
-		w.Changed = append(w.Changed, platform.RunningEndpoint{
+		w.Changed = append(w.Changed, infra.RunningEndpoint{
 			Name:       e.GetName(),
 			DataCentre: r.GetDataCentre(),
 			Service:    e.GetService(),
 			Tier:       e.GetTier(),
 			Addr:       e.GetAddr(),
-			State:      platform.EndpointState(e.GetState()),
+			State:      infra.EndpointState(e.GetState()),
 		})
 	}
 	return w
--- a/controller/endpoints/watch.go
+++ b/controller/endpoints/watch.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -41,7 +41,7 @@
 	Digest uint64
 	// Changed are the endpoints that changed lately, and Gone the names of
 	// those that went. The word counts where they lead to the Digest.
-	Changed []platform.RunningEndpoint
+	Changed []infra.RunningEndpoint
 	Gone    []string
 }
 
@@ -55,7 +55,7 @@
 type Watch struct {
 	epoch, seq uint64 // of the newest word taken
 	known      bool
-	list       []platform.RunningEndpoint
+	list       []infra.RunningEndpoint
 	digest     uint64
 	taken      uint64 // words taken
 
@@ -67,7 +67,7 @@
 }
 
 // List returns what is known to run, and whether anything is known.
-func (w *Watch) List() ([]platform.RunningEndpoint, bool) { return w.list, w.known }
+func (w *Watch) List() ([]infra.RunningEndpoint, bool) { return w.list, w.known }
 
 // Due reports whether to observe now. The holder always does.
 func (w *Watch) Due(now time.Duration, holder bool) bool { return holder || now >= w.due }
@@ -78,7 +78,7 @@
 // Observed takes an observation that began at the mark begun. Epoch is that of
 // the lease, if it was held all the time, else 0. It reports whether the list
 // changed.
-func (w *Watch) Observed(now time.Duration, begun, epoch uint64, list []platform.RunningEndpoint) bool {
+func (w *Watch) Observed(now time.Duration, begun, epoch uint64, list []infra.RunningEndpoint) bool {
 	if epoch < w.epoch || epoch == 0 {
 		if begun != w.taken {
 			return false // word came in meanwhile, which may be newer
@@ -162,11 +162,11 @@
 }
 
 // with returns the list after a word's changes.
-func (w *Watch) with(word Word) []platform.RunningEndpoint {
+func (w *Watch) with(word Word) []infra.RunningEndpoint {
 	if len(word.Changed) == 0 && len(word.Gone) == 0 {
 		return w.list
 	}
-	next := make(map[string]platform.RunningEndpoint, len(w.list))
+	next := make(map[string]infra.RunningEndpoint, len(w.list))
 	for _, e := range w.list {
 		next[e.Name] = e
 	}
@@ -187,7 +187,7 @@
 	w.tellUntil = now + tellFor
 }
 
-func (w *Watch) replace(now time.Duration, list []platform.RunningEndpoint) bool {
+func (w *Watch) replace(now time.Duration, list []infra.RunningEndpoint) bool {
 	if w.known && slices.Equal(list, w.list) {
 		return false
 	}
@@ -199,7 +199,7 @@
 }
 
 // note remembers in what a new list differs, and forgets older changes.
-func (w *Watch) note(now time.Duration, list []platform.RunningEndpoint) {
+func (w *Watch) note(now time.Duration, list []infra.RunningEndpoint) {
 	if w.changedAt == nil {
 		w.changedAt = map[string]time.Duration{}
 	}
@@ -217,8 +217,8 @@
 }
 
 // has needs a sorted list.
-func has(list []platform.RunningEndpoint, name string) bool {
-	_, ok := slices.BinarySearchFunc(list, name, func(e platform.RunningEndpoint, name string) int {
+func has(list []infra.RunningEndpoint, name string) bool {
+	_, ok := slices.BinarySearchFunc(list, name, func(e infra.RunningEndpoint, name string) int {
 		return strings.Compare(e.Name, name)
 	})
 	return ok
@@ -227,17 +227,17 @@
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // sorted returns a copy by name, without what changes all the time.
-func sorted(list []platform.RunningEndpoint) []platform.RunningEndpoint {
+func sorted(list []infra.RunningEndpoint) []infra.RunningEndpoint {
 	list = slices.Clone(list)
 	for i := range list {
 		list[i].ReclaimIn = 0
 	}
-	slices.SortFunc(list, func(a, b platform.RunningEndpoint) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b infra.RunningEndpoint) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
 // digest needs a sorted list.
-func digest(list []platform.RunningEndpoint) uint64 {
+func digest(list []infra.RunningEndpoint) uint64 {
 	h := fnv.New64a()
 	for _, e := range list {
 		for _, s := range []string{e.Name, e.DataCentre, e.Service, e.Tier, e.Addr, string(e.State)} {
--- a/controller/endpoints/watch_test.go
+++ b/controller/endpoints/watch_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"pgregory.net/rapid"
 )
 
@@ -17,13 +17,13 @@
 // and the list that it must have.
 type watchModel struct {
 	now     time.Duration
-	truth   []platform.RunningEndpoint
+	truth   []infra.RunningEndpoint
 	changes int
 	watches [4]Watch
 	wantAt  [4]version
-	want    [4][]platform.RunningEndpoint
+	want    [4][]infra.RunningEndpoint
 	heardAt [4]time.Duration
-	seen    map[version][]platform.RunningEndpoint
+	seen    map[version][]infra.RunningEndpoint
 	held    [4]uint64 // epoch under which each instance acts, or 0
 	epoch   uint64
 	words   []Word // sent at any time; may come again, late or never
@@ -35,7 +35,7 @@
 	for i := range 3 {
 		if i == m.changes%3 || rapid.Bool().Draw(t, "runs") {
 			addr := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address")
-			m.truth = append(m.truth, platform.RunningEndpoint{Name: fmt.Sprintf("e%d", i), Addr: addr})
+			m.truth = append(m.truth, infra.RunningEndpoint{Name: fmt.Sprintf("e%d", i), Addr: addr})
 		}
 	}
 }
@@ -113,8 +113,8 @@
 }
 
 // after applies a word's changes.
-func after(list []platform.RunningEndpoint, word Word) []platform.RunningEndpoint {
-	var next []platform.RunningEndpoint
+func after(list []infra.RunningEndpoint, word Word) []infra.RunningEndpoint {
+	var next []infra.RunningEndpoint
 	for i := range 3 {
 		name := fmt.Sprintf("e%d", i)
 		for _, e := range slices.Concat(word.Changed, list) { // the first counts
@@ -129,7 +129,7 @@
 
 func TestWatchAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &watchModel{seen: map[version][]platform.RunningEndpoint{}}
+		m := &watchModel{seen: map[version][]infra.RunningEndpoint{}}
 		m.change(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"": m.check,
--- a/controller/keys/controller.go
+++ b/controller/keys/controller.go
@@ -16,8 +16,8 @@
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/freshness"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"github.com/uber-go/tally/v4"
 )
@@ -51,7 +51,7 @@
 	Scope       tally.Scope
 	// Objects keeps copies of withdrawals that the table does not hold yet.
 	// Without it none are written or read.
-	Objects platform.Objects
+	Objects infra.Objects
 	// Meet, if set, makes exchanges with the members of the list begin at once.
 	Meet func()
 }
--- a/controller/keys/controller_test.go
+++ b/controller/keys/controller_test.go
@@ -15,9 +15,9 @@
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -28,7 +28,7 @@
 	down    atomic.Bool
 	commits atomic.Int64
 	peers   []*peer
-	objects platform.Objects
+	objects infra.Objects
 }
 
 func (s *store) Commit(_ context.Context, _, _ string, r api.ChangeRequest) (api.ChangeResponse, error) {
@@ -191,7 +191,7 @@
 		}
 		s.down.Store(false)
 		wg.Wait()
-		if _, err := s.objects.Get(t.Context(), copyName("a")); !errors.Is(err, platform.ErrNotFound) || !ps[1].refuses() {
+		if _, err := s.objects.Get(t.Context(), copyName("a")); !errors.Is(err, infra.ErrNotFound) || !ps[1].refuses() {
 			t.Errorf("the copy is still there after the commit: %v", err)
 		}
 	})
--- a/controller/keys/copies.go
+++ b/controller/keys/copies.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -36,7 +36,7 @@
 // instances of before left there. Each instance writes one object, under its
 // name, so that nobody overwrites another one's.
 type copies struct {
-	objects platform.Objects
+	objects infra.Objects
 	self    string
 	// adopted says that the copies of before were read, or given up.
 	adopted atomic.Bool
@@ -58,7 +58,7 @@
 
 func copyName(instance string) string { return "withdrawals/" + instance }
 
-func newCopies(objects platform.Objects, self string) *copies {
+func newCopies(objects infra.Objects, self string) *copies {
 	c := &copies{objects: objects, self: self, listed: make(chan struct{}), turn: make(chan struct{}, 1)}
 	c.adopted.Store(objects == nil)
 	return c
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 	data, err := c.objects.Get(ctx, copyName(instance))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/controller/leases/act.go
+++ b/controller/leases/act.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/lease"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // Act is something done under a lease. While it is under way the lease is not
@@ -41,7 +41,7 @@
 	}
 	r.m.Step(now, lease.ActBegan{})
 	a := &Act{r: r, cancel: cancel, epoch: t.Epoch}
-	a.ctx = platform.WithGuard(ctx, a.Check)
+	a.ctx = infra.WithGuard(ctx, a.Check)
 	return a, nil
 }
 
@@ -74,6 +74,6 @@
 		return err
 	}
 	err = call(a.Context(), a.Epoch())
-	a.End(platform.Definite(err))
+	a.End(infra.Definite(err))
 	return err
 }
--- a/controller/leases/duty.go
+++ b/controller/leases/duty.go
@@ -1,8 +1,8 @@
 package leases
 
 import (
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/invariant"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // The names of duties.
@@ -38,8 +38,8 @@
 
 // Fence returns an Op with which a transaction fails unless the duty's lease
 // is still in the epoch.
-func (d Duty) Fence(epoch uint64) platform.Op {
-	return platform.Check(d.FenceKey(), epoch)
+func (d Duty) Fence(epoch uint64) infra.Op {
+	return infra.Check(d.FenceKey(), epoch)
 }
 
 // invariant is what two holders of the duty at a time would break.
--- a/controller/leases/effect.go
+++ b/controller/leases/effect.go
@@ -4,8 +4,8 @@
 	"errors"
 
 	"github.com/cumincove/cumincove/effect"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/lease"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // EffectOf returns what is certain about the effect of an act under a lease
@@ -14,5 +14,5 @@
 	if errors.Is(err, lease.ErrNotHeld) {
 		return effect.None
 	}
-	return platform.EffectOf(err)
+	return infra.EffectOf(err)
 }
--- a/controller/leases/leases_test.go
+++ b/controller/leases/leases_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/controller/leases"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/lease"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -23,20 +23,20 @@
 
 // cut is a table that an instance can be cut off from.
 type cut struct {
-	platform.Table
+	infra.Table
 	off atomic.Bool
 }
 
-func (c *cut) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *cut) Get(ctx context.Context, key string) (infra.Row, error) {
 	if c.off.Load() {
-		return platform.Row{}, platform.ErrUnavailable
+		return infra.Row{}, infra.ErrUnavailable
 	}
 	return c.Table.Get(ctx, key)
 }
 
-func (c *cut) Commit(ctx context.Context, ops ...platform.Op) error {
+func (c *cut) Commit(ctx context.Context, ops ...infra.Op) error {
 	if c.off.Load() {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	return c.Table.Commit(ctx, ops...)
 }
--- a/controller/leases/runner.go
+++ b/controller/leases/runner.go
@@ -13,14 +13,14 @@
 
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/effect"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/invariant"
 	"github.com/cumincove/cumincove/lease"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // Options sets Runners up.
 type Options struct {
-	Table platform.Table
+	Table infra.Table
 	Clock clock.Clock
 	// Holder is this instance's name. Incarnation must differ from that of
 	// every earlier process of this name.
@@ -261,7 +261,7 @@
 
 func (r *Runner) read(ctx context.Context) lease.Event {
 	got, err := r.o.Table.Get(ctx, r.duty.Key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return lease.ReadDone{}
 	}
 	if err != nil {
@@ -282,12 +282,12 @@
 		r.failedCall("encode", err)
 		return effect.None
 	}
-	ops := []platform.Op{platform.PutIf(r.duty.Key(), w.IfVersion, value)}
+	ops := []infra.Op{infra.PutIf(r.duty.Key(), w.IfVersion, value)}
 	if w.Acquire {
-		ops = append(ops, platform.PutIf(r.duty.FenceKey(), w.Row.Epoch-1, value))
+		ops = append(ops, infra.PutIf(r.duty.FenceKey(), w.Row.Epoch-1, value))
 	}
 	err = r.o.Table.Commit(ctx, ops...)
-	o := platform.EffectOf(err)
+	o := infra.EffectOf(err)
 	if o == effect.None || o == effect.Unknown {
 		r.failedCall("write", err)
 	}
--- a/controller/membership/connection_test.go
+++ b/controller/membership/connection_test.go
@@ -13,10 +13,10 @@
 	"connectrpc.com/connect"
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/gossip"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 	"github.com/cumincove/cumincove/internal/tlsfile/tlstest"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"google.golang.org/protobuf/proto"
 )
@@ -137,7 +137,7 @@
 
 func connectionOptions(name string, dial func(context.Context, string, string) (net.Conn, error)) Options {
 	return Options{
-		Self: platform.Instance{Name: name}, Incarnation: 1, Views: view.NewStore(),
+		Self: infra.Instance{Name: name}, Incarnation: 1, Views: view.NewStore(),
 		Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler), Dial: dial,
 	}
 }
--- a/controller/membership/controller.go
+++ b/controller/membership/controller.go
@@ -13,8 +13,8 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/gossip"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"github.com/uber-go/tally/v4"
 )
@@ -49,9 +49,9 @@
 
 // Options says what a Controller works with.
 type Options struct {
-	Self        platform.Instance
+	Self        infra.Instance
 	Incarnation uint64
-	Instances   platform.Instances
+	Instances   infra.Instances
 	Views       *view.Store
 	Clock       clock.Clock
 	Log         *slog.Logger
@@ -84,7 +84,7 @@
 	node       *gossip.Node
 	busy       map[string]bool // peers with an exchange under way
 	again      map[string]bool // peers to exchange with once more after that
-	listed     map[string]platform.Instance
+	listed     map[string]infra.Instance
 	read       bool // the list was read
 	// published is the number of the node's changes in the View, and one more.
 	published uint64
@@ -116,7 +116,7 @@
 		node:   gossip.NewNode(self, gossip.Options{Period: o.Period}, rand.New(rand.NewPCG(o.Incarnation, rand.Uint64()))),
 		busy:   make(map[string]bool),
 		again:  make(map[string]bool),
-		listed: make(map[string]platform.Instance),
+		listed: make(map[string]infra.Instance),
 	}
 }
 
@@ -227,7 +227,7 @@
 		return fmt.Errorf("read instances: %w", err)
 	}
 	seeds := make([]gossip.Seed, 0, len(list))
-	listed := make(map[string]platform.Instance, len(list))
+	listed := make(map[string]infra.Instance, len(list))
 	for _, i := range list {
 		listed[i.Name] = i
 		if i.Name != c.o.Self.Name {
--- a/controller/membership/publish.go
+++ b/controller/membership/publish.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/cumincove/cumincove/gossip"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"google.golang.org/protobuf/proto"
 )
@@ -132,7 +132,7 @@
 		out.ConfigVersion = s.ConfigVersion
 		out.Leaving = s.Leaving
 	}
-	if listed && l.State == platform.InstanceLeaving {
+	if listed && l.State == infra.InstanceLeaving {
 		out.Leaving = true
 	}
 	return out
--- a/controller/membership/rollouts_test.go
+++ b/controller/membership/rollouts_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/cumincove/cumincove/capacity"
 	"github.com/cumincove/cumincove/gossip"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -22,7 +22,7 @@
 	var list []*Controller
 	for _, name := range []string{"a", "b", "c"} {
 		o := connectionOptions(name, nil)
-		o.Self, o.Clock, o.Views = platform.Instance{Name: name}, clk, view.NewStore()
+		o.Self, o.Clock, o.Views = infra.Instance{Name: name}, clk, view.NewStore()
 		o.Demand = func() (map[capacity.ServiceID]capacity.Load, bool) {
 			return map[capacity.ServiceID]capacity.Load{1: {Rollout: work[name]}}, work[name] > 0
 		}
--- /dev/null
+++ b/controller/models/controller.go
@@ -0,0 +1,177 @@
+package models
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cumincove/cumincove/clock"
+	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/controller/leases"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/view"
+)
+
+const (
+	// dutyName is the duty of the instance that gives the orders.
+	dutyName = "weights"
+	// lookPeriod is the time between two looks at what is due.
+	lookPeriod = 100 * time.Millisecond
+	// atOnce is how many engines load at a time: more slow each other down.
+	atOnce = 2
+	// settleTime is how long an accepted order may take to show before the
+	// engine is asked again.
+	settleTime = 4 * time.Second
+	// retryTime is the pause after an order that was not accepted.
+	retryTime = 300 * time.Millisecond
+)
+
+// Options says what a Controller works with.
+type Options struct {
+	Engines infra.Engines
+	Keeper  *leases.Keeper
+	Views   *view.Store
+	Clock   clock.Clock
+	Log     *slog.Logger
+	Scope   tally.Scope
+	Holder  string
+	// Named returns the named version of each model.
+	Named func() map[string]uint64
+	// SingleVersion reports whether samples of a model must be generated under
+	// one version, so that a load has to wait for those that run.
+	SingleVersion func(v *view.View, model string) bool
+}
+
+// Controller gives the orders while it holds the duty.
+type Controller struct {
+	o    Options
+	duty *leases.Runner
+
+	mu sync.Mutex
+	// ordered holds what each engine was last told, by its name.
+	ordered map[string]order
+}
+
+// order is a load that an engine was told, and until when it is not told
+// another.
+type order struct {
+	load  Load
+	until time.Duration
+}
+
+// New returns a Controller.
+func New(o Options) *Controller {
+	return &Controller{o: o, duty: o.Keeper.Runner(leases.Duty{Name: dutyName}), ordered: map[string]order{}}
+}
+
+// Run works until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	tick := time.NewTicker(lookPeriod)
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-tick.C:
+			c.look(ctx, &wg)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// look begins the loads that are due and for which there is room.
+func (c *Controller) look(ctx context.Context, wg *sync.WaitGroup) {
+	if !c.duty.Holds() {
+		return
+	}
+	v := c.o.Views.Load()
+	now := c.o.Clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loading := c.settle(v, now)
+	for _, load := range Plan(enginesOf(v), c.o.Named()) {
+		if loading >= atOnce {
+			return
+		}
+		if _, busy := c.ordered[load.Engine]; busy {
+			continue
+		}
+		e, ok := v.EndpointByName(load.Engine)
+		if !ok {
+			continue
+		}
+		loading++
+		c.ordered[load.Engine] = order{load, now + settleTime}
+		wg.Go(func() { c.give(ctx, e, load) })
+	}
+}
+
+// settle forgets the orders that took effect, or took too long, and returns how
+// many are left.
+func (c *Controller) settle(v *view.View, now time.Duration) int {
+	for name, o := range c.ordered {
+		e, ok := v.EndpointByName(name)
+		if !ok || now >= o.until || e.Weights[o.load.Model] >= o.load.Version {
+			delete(c.ordered, name)
+		}
+	}
+	return len(c.ordered)
+}
+
+// enginesOf lists the engines that may load weights.
+func enginesOf(v *view.View) []Engine {
+	var list []Engine
+	for _, s := range v.Config.Services {
+		if s.Type != config.ServiceEngine {
+			continue
+		}
+		for _, e := range v.Endpoints[s.Name] {
+			if !e.Leaving && len(e.Weights) > 0 {
+				list = append(list, Engine{Name: e.Name, Weights: e.Weights})
+			}
+		}
+	}
+	return list
+}
+
+// give sends an order under the lease.
+func (c *Controller) give(ctx context.Context, e *view.Endpoint, load Load) {
+	began := c.o.Clock.Now()
+	err := c.duty.Do(ctx, func(ctx context.Context, epoch uint64) error {
+		return c.order(ctx, e, load, epoch)
+	})
+	c.o.Log.Info("weights ordered", "endpoint", load.Engine, "model", load.Model, "version", load.Version,
+		"before", e.Weights[load.Model], "took", c.o.Clock.Now()-began, "error", err)
+	c.o.Scope.Counter("weight_orders").Inc(1)
+	if err == nil || errors.Is(err, infra.ErrUnknownOutcome) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ordered[load.Engine] = order{load, c.o.Clock.Now() + retryTime}
+}
+
+// order asks the engine how many orders it has accepted, and orders the load if
+// it is still needed.
+func (c *Controller) order(ctx context.Context, e *view.Endpoint, load Load, epoch uint64) error {
+	ref := infra.EngineRef{Endpoint: e.Name, Addr: e.Addr}
+	report, err := c.o.Engines.Report(ctx, ref)
+	switch {
+	case err != nil:
+		return errors.Join(infra.ErrUnavailable, err) // nothing was ordered
+	case report.Versions[load.Model] >= load.Version:
+		return nil
+	case report.Busy:
+		return infra.ErrOrderRefused
+	}
+	return c.o.Engines.Order(ctx, infra.WeightOrder{
+		Engine: ref, Model: load.Model, Version: load.Version,
+		KeepRuns: !c.o.SingleVersion(c.o.Views.Load(), load.Model),
+		Expected: report.Orders, Holder: c.o.Holder, Epoch: epoch,
+	})
+}
--- /dev/null
+++ b/controller/presence/controller.go
@@ -0,0 +1,261 @@
+package presence
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cumincove/cumincove/clock"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/view"
+)
+
+const (
+	// prefix begins the keys of the rows.
+	prefix = "member/"
+	// page is the number of rows read at a time.
+	page = 500
+	// callTimeout bounds a call of the table.
+	callTimeout = time.Second
+)
+
+// row is what an instance says of itself.
+type row struct {
+	Incarnation uint64 `json:"incarnation"`
+	// Beat rises with each write.
+	Beat       uint64 `json:"beat"`
+	DataCentre string `json:"data_centre"`
+	PeerAddr   string `json:"peer_addr"`
+	CallerAddr string `json:"caller_addr"`
+	Leaving    bool   `json:"leaving,omitempty"`
+	InFlight   int    `json:"in_flight"`
+	// Streams counts its requests and streams by endpoint.
+	Streams map[string]int `json:"streams,omitempty"`
+}
+
+// Options says what a Controller works with.
+type Options struct {
+	Table infra.Table
+	Views *view.Store
+	Clock clock.Clock
+	Log   *slog.Logger
+	Scope tally.Scope
+	// Self describes this instance.
+	Self view.Member
+	// Period is the time between two writes, and Lapse how long a row may stay
+	// unchanged.
+	Period time.Duration
+	Lapse  time.Duration
+	// InFlight and Leaving are asked before each write.
+	InFlight func() int
+	Leaving  func() bool
+}
+
+// Controller writes this instance's row and follows the others'.
+type Controller struct {
+	o      Options
+	beat   uint64
+	seen   map[string]sighting
+	urge   chan struct{}
+	lastOK time.Duration
+	synced atomic.Bool
+}
+
+// sighting is a row and since when it is unchanged.
+type sighting struct {
+	row   row
+	since time.Duration
+}
+
+// New returns a Controller.
+func New(o Options) *Controller {
+	return &Controller{o: o, seen: map[string]sighting{}, urge: make(chan struct{}, 1)}
+}
+
+// Synced reports whether the rows were read at least once.
+func (c *Controller) Synced() bool { return c.synced.Load() }
+
+// Urge has this instance's row written at once.
+func (c *Controller) Urge() {
+	select {
+	case c.urge <- struct{}{}:
+	default:
+	}
+}
+
+// Run works until ctx ends, and then removes this instance's row.
+func (c *Controller) Run(ctx context.Context) error {
+	tick := time.NewTicker(c.o.Period)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		c.write(ctx)
+		c.read(ctx)
+		select {
+		case <-tick.C:
+		case <-c.urge:
+		case <-ctx.Done():
+		}
+	}
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	if err := c.o.Table.Commit(last, infra.Delete(prefix+c.o.Self.Name)); err != nil {
+		c.o.Log.Warn("member row not removed", "error", err)
+	}
+	return nil
+}
+
+func (c *Controller) write(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.beat++
+	r := row{
+		Incarnation: c.o.Self.Incarnation,
+		Beat:        c.beat,
+		DataCentre:  c.o.Self.DataCentre,
+		PeerAddr:    c.o.Self.PeerAddr,
+		CallerAddr:  c.o.Self.CallerAddr,
+		Leaving:     c.o.Leaving(),
+		InFlight:    c.o.InFlight(),
+		Streams:     c.streams(),
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		c.o.Log.Error("member row not encoded", "error", err)
+		return
+	}
+	if err := c.o.Table.Commit(ctx, infra.Put(prefix+c.o.Self.Name, value)); err != nil {
+		c.o.Scope.Counter("member_writes_failed").Inc(1)
+		c.o.Log.Debug("member row not written", "error", err)
+	}
+}
+
+// streams counts what this instance has at endpoints.
+func (c *Controller) streams() map[string]int {
+	counts := map[string]int{}
+	for name, e := range c.o.Views.Load().AllEndpoints() {
+		if n := e.Stats.InFlight.Load(); n > 0 {
+			counts[name] = int(n)
+		}
+	}
+	return counts
+}
+
+func (c *Controller) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := c.list(ctx)
+	now := c.o.Clock.Now()
+	if err != nil {
+		c.o.Scope.Counter("member_reads_failed").Inc(1)
+		c.o.Log.Debug("member rows not read", "error", err)
+		return
+	}
+	c.take(now, rows)
+	c.publish(now)
+	c.synced.Store(true)
+}
+
+func (c *Controller) list(ctx context.Context) (map[string]row, error) {
+	rows := map[string]row{}
+	for after := ""; ; {
+		list, err := c.o.Table.List(ctx, prefix, after, page)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range list {
+			after = r.Key
+			var decoded row
+			if err := json.Unmarshal(r.Value, &decoded); err != nil {
+				c.o.Log.Warn("member row is unreadable", "row", r.Key, "error", err)
+				continue
+			}
+			rows[r.Key[len(prefix):]] = decoded
+		}
+		if len(list) < page {
+			return rows, nil
+		}
+	}
+}
+
+// take notes which rows changed. After a time without reads every row gets its
+// full time again.
+func (c *Controller) take(now time.Duration, rows map[string]row) {
+	gap := now-c.lastOK > 2*c.o.Period+callTimeout
+	c.lastOK = now
+	for name := range c.seen {
+		if _, ok := rows[name]; !ok {
+			delete(c.seen, name)
+		}
+	}
+	for name, r := range rows {
+		old, ok := c.seen[name]
+		same := ok && old.row.Beat == r.Beat && old.row.Incarnation == r.Incarnation
+		if !same || gap {
+			c.seen[name] = sighting{row: r, since: now}
+		}
+	}
+}
+
+// publish puts the living into the snapshot, and what they have at endpoints.
+func (c *Controller) publish(now time.Duration) {
+	members := map[string]view.Member{}
+	others := map[string]int{}
+	for name, s := range c.seen {
+		if now-s.since > c.o.Lapse {
+			continue
+		}
+		members[name] = view.Member{
+			Name: name, Incarnation: s.row.Incarnation, DataCentre: s.row.DataCentre,
+			PeerAddr: s.row.PeerAddr, CallerAddr: s.row.CallerAddr,
+			Leaving: s.row.Leaving, InFlight: s.row.InFlight,
+		}
+		if name == c.o.Self.Name {
+			continue
+		}
+		for endpoint, n := range s.row.Streams {
+			others[endpoint] += n
+		}
+	}
+	self := c.o.Self
+	self.Leaving = c.o.Leaving()
+	self.InFlight = c.o.InFlight()
+	members[self.Name] = self
+	before := c.o.Views.Load()
+	c.logChanges(before.Members, members)
+	c.o.Views.Update(func(v *view.View) {
+		v.Members = members
+		v.SetLoad(reports(v, others, now))
+	})
+}
+
+// reports makes a load report of what the others say for each endpoint.
+func reports(v *view.View, others map[string]int, now time.Duration) map[string]view.LoadReport {
+	list := make(map[string]view.LoadReport, len(v.AllEndpoints()))
+	for name, e := range v.AllEndpoints() {
+		own := int(e.Stats.InFlight.Load())
+		r := view.LoadReport{At: now, Own: own}
+		r.Load.Running = others[name] + own
+		r.Load.MaxRunning = e.Slots
+		list[name] = r
+	}
+	return list
+}
+
+func (c *Controller) logChanges(before, after map[string]view.Member) {
+	for name, m := range after {
+		old, ok := before[name]
+		if !ok || old.Incarnation != m.Incarnation || old.Leaving != m.Leaving {
+			c.o.Log.Info("member seen", "member", name, "incarnation", m.Incarnation, "leaving", m.Leaving)
+		}
+	}
+	for name := range maps.Keys(before) {
+		if _, ok := after[name]; !ok {
+			c.o.Log.Info("member gone", "member", name, "incarnation", before[name].Incarnation)
+		}
+	}
+}
--- a/controller/rollout/controller.go
+++ b/controller/rollout/controller.go
@@ -12,8 +12,8 @@
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/ledger"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/rollout"
 	"github.com/cumincove/cumincove/share"
 	"github.com/cumincove/cumincove/view"
@@ -34,7 +34,7 @@
 type Options struct {
 	// Self is this instance's name.
 	Self  string
-	Table platform.Table
+	Table infra.Table
 	Views *view.Store
 	Clock clock.Clock
 	// Dispatcher tells whose turn it is to begin a stream.
@@ -129,7 +129,7 @@
 	o := ownerRow{Instance: c.o.Self, Epoch: 1, Nonce: uuid.NewString()}
 	o, version, err := c.rows.open(ctx, k, s, o)
 	switch {
-	case errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, infra.ErrConflict) || errors.Is(err, infra.ErrUnknownOutcome):
 		answer.Existed = true
 		return answer, c.checkSame(ctx, k, spec)
 	case err != nil:
@@ -144,7 +144,7 @@
 func (c *Controller) checkSame(ctx context.Context, k stepKey, spec rollout.Spec) error {
 	var have specRow
 	if _, err := c.rows.read(ctx, k.spec(), &have); err != nil {
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, infra.ErrNotFound) {
 			return code.New(code.StoreDown, "the step was not stored")
 		}
 		return storeError(err)
@@ -290,9 +290,9 @@
 // storeError turns an error of the store into a coded one.
 func storeError(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, infra.ErrNotFound):
 		return code.Wrap(code.StepUnknown, err, "")
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		return code.Wrap(code.StepOwnerMoving, err, "")
 	}
 	return code.Wrap(code.StoreDown, err, "")
--- a/controller/rollout/need.go
+++ b/controller/rollout/need.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/rollout"
 	"github.com/cumincove/cumincove/share"
 )
@@ -78,7 +78,7 @@
 		return err
 	}
 	key := w.key.need(w.spec.Service)
-	if err := w.c.rows.table.Commit(ctx, platform.Put(key, value)); err != nil {
+	if err := w.c.rows.table.Commit(ctx, infra.Put(key, value)); err != nil {
 		return err
 	}
 	list, err := w.c.rows.table.List(ctx, w.key.needs(w.spec.Service), "", maxNeeds)
--- a/controller/rollout/outage_test.go
+++ b/controller/rollout/outage_test.go
@@ -18,6 +18,7 @@
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/engine"
 	"github.com/cumincove/cumincove/fairqueue"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/bubble"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
@@ -26,7 +27,6 @@
 	"github.com/cumincove/cumincove/label"
 	"github.com/cumincove/cumincove/ledger"
 	"github.com/cumincove/cumincove/limit"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/rollout"
 	"github.com/cumincove/cumincove/share"
 	"github.com/cumincove/cumincove/view"
@@ -87,7 +87,7 @@
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
 		Newest: func(ctx context.Context, _ string) (uint64, error) {
 			_, err := table.Get(ctx, "none")
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, infra.ErrNotFound) {
 				return 1, nil
 			}
 			return 0, err
--- a/controller/rollout/route.go
+++ b/controller/rollout/route.go
@@ -9,9 +9,9 @@
 	"connectrpc.com/connect"
 
 	"github.com/cumincove/cumincove/code"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1/rolloutv1connect"
-	"github.com/cumincove/cumincove/platform"
 )
 
 const (
@@ -112,7 +112,7 @@
 		c.rememberOwner(k, o.Instance)
 		return o.Instance, nil
 	}
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return "", storeError(err)
 	}
 	if name, ok := c.lastOwner(k); ok {
--- a/controller/rollout/rows.go
+++ b/controller/rollout/rows.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/ledger"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/rollout"
 )
 
@@ -64,7 +64,7 @@
 
 // rows reads and writes the rows of steps.
 type rows struct {
-	table platform.Table
+	table infra.Table
 }
 
 // read decodes a row and returns its version.
@@ -83,7 +83,7 @@
 func (r rows) left(ctx context.Context, k stepKey, s specRow) (time.Duration, error) {
 	var n needRow
 	_, err := r.read(ctx, k.need(s.Spec.Service), &n)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return s.left(), nil
 	}
 	return time.Duration(n.LeftMillis) * time.Millisecond, err
@@ -93,7 +93,7 @@
 // that a removed step of the same ID left behind is raised.
 func (r rows) open(ctx context.Context, k stepKey, s specRow, o ownerRow) (ownerRow, uint64, error) {
 	version, err := r.create(ctx, k, s, o, 0)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, infra.ErrConflict) {
 		return o, version, err
 	}
 	var old ownerRow
@@ -122,9 +122,9 @@
 		return 0, err
 	}
 	err = r.table.Commit(ctx,
-		platform.PutIf(k.spec(), 0, spec),
-		platform.PutIf(k.owner(), version, owner),
-		platform.Put(k.need(s.Spec.Service), need))
+		infra.PutIf(k.spec(), 0, spec),
+		infra.PutIf(k.owner(), version, owner),
+		infra.Put(k.need(s.Spec.Service), need))
 	return version + 1, err
 }
 
@@ -135,8 +135,8 @@
 	if err != nil {
 		return err
 	}
-	err = r.table.Commit(ctx, platform.PutIf(k.owner(), version, value))
-	if !errors.Is(err, platform.ErrUnknownOutcome) {
+	err = r.table.Commit(ctx, infra.PutIf(k.owner(), version, value))
+	if !errors.Is(err, infra.ErrUnknownOutcome) {
 		return err
 	}
 	var now ownerRow
@@ -144,7 +144,7 @@
 		return rerr
 	}
 	if now != o {
-		return platform.ErrConflict
+		return infra.ErrConflict
 	}
 	return nil
 }
@@ -156,8 +156,8 @@
 		return err
 	}
 	return r.table.Commit(ctx,
-		platform.Check(k.owner(), ownerVersion),
-		platform.Put(k.batch(epoch, b.Seq), value))
+		infra.Check(k.owner(), ownerVersion),
+		infra.Put(k.batch(epoch, b.Seq), value))
 }
 
 // eachBatch calls f for the step's batches in the order in which they were
@@ -189,7 +189,7 @@
 // version. The owner row stays: were its version to begin again, a former owner
 // could write into a later step of the same ID.
 func (r rows) remove(ctx context.Context, k stepKey, service string, ownerVersion uint64) error {
-	fence := platform.Check(k.owner(), ownerVersion)
+	fence := infra.Check(k.owner(), ownerVersion)
 	var keys []string
 	err := r.eachBatch(ctx, k, func(key string, _ ledger.Batch) error {
 		keys = append(keys, key)
@@ -199,15 +199,15 @@
 		return err
 	}
 	for part := range slices.Chunk(keys, listLimit) {
-		ops := []platform.Op{fence}
+		ops := []infra.Op{fence}
 		for _, key := range part {
-			ops = append(ops, platform.Delete(key))
+			ops = append(ops, infra.Delete(key))
 		}
 		if err := r.table.Commit(ctx, ops...); err != nil {
 			return err
 		}
 	}
-	return r.table.Commit(ctx, fence, platform.Delete(k.spec()), platform.Delete(k.need(service)))
+	return r.table.Commit(ctx, fence, infra.Delete(k.spec()), infra.Delete(k.need(service)))
 }
 
 // steps lists a team's steps after an ID.
--- a/controller/rollout/rows_test.go
+++ b/controller/rollout/rows_test.go
@@ -4,9 +4,9 @@
 	"errors"
 	"testing"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/ledger"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/rollout"
 )
 
@@ -29,7 +29,7 @@
 	if err := r.takeOver(ctx, k, v1, ownerRow{Instance: "b", Epoch: 2, Nonce: "2"}); err != nil {
 		t.Fatal(err)
 	}
-	if err := r.putBatch(ctx, k, v1, first.Epoch, batch); !errors.Is(err, platform.ErrConflict) {
+	if err := r.putBatch(ctx, k, v1, first.Epoch, batch); !errors.Is(err, infra.ErrConflict) {
 		t.Errorf("write after a takeover: %v", err)
 	}
 	if err := r.remove(ctx, k, "m", v1+1); err != nil {
@@ -40,14 +40,14 @@
 		t.Fatalf("opened again: %+v, %v", again, err)
 	}
 	for _, old := range []uint64{v1, v1 + 1} {
-		if err := r.putBatch(ctx, k, old, first.Epoch, batch); !errors.Is(err, platform.ErrConflict) {
+		if err := r.putBatch(ctx, k, old, first.Epoch, batch); !errors.Is(err, infra.ErrConflict) {
 			t.Errorf("write of owner row %d into the later step: %v", old, err)
 		}
 	}
 	if err := r.putBatch(ctx, k, v3, again.Epoch, batch); err != nil {
 		t.Error(err)
 	}
-	if _, _, err := r.open(ctx, k, spec, ownerRow{Instance: "d", Epoch: 1, Nonce: "4"}); !errors.Is(err, platform.ErrConflict) {
+	if _, _, err := r.open(ctx, k, spec, ownerRow{Instance: "d", Epoch: 1, Nonce: "4"}); !errors.Is(err, infra.ErrConflict) {
 		t.Errorf("opened twice: %v", err)
 	}
 }
--- a/controller/rollout/size_test.go
+++ b/controller/rollout/size_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/bubble"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/rollout"
 )
 
@@ -29,11 +29,11 @@
 
 // countedTable counts the bytes that are written, and is slow.
 type countedTable struct {
-	platform.Table
+	infra.Table
 	bytes atomic.Int64
 }
 
-func (c *countedTable) Commit(ctx context.Context, ops ...platform.Op) error {
+func (c *countedTable) Commit(ctx context.Context, ops ...infra.Op) error {
 	time.Sleep(storeLatency)
 	for _, op := range ops {
 		c.bytes.Add(int64(len(op.Key) + len(op.Value)))
@@ -41,7 +41,7 @@
 	return c.Table.Commit(ctx, ops...)
 }
 
-func (c *countedTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *countedTable) Get(ctx context.Context, key string) (infra.Row, error) {
 	time.Sleep(storeLatency)
 	return c.Table.Get(ctx, key)
 }
--- a/controller/rollout/sweep.go
+++ b/controller/rollout/sweep.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -92,7 +92,7 @@
 }
 
 // look reports whether a step has had no owner at work for long.
-func (s *sweeper) look(row platform.Row) bool {
+func (s *sweeper) look(row infra.Row) bool {
 	if len(s.still) >= sweepMemory {
 		clear(s.still)
 	}
@@ -111,7 +111,7 @@
 		return nil
 	}
 	row, err := s.c.rows.table.Get(ctx, k.owner())
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
 		return err
 	}
 	if err := s.c.rows.remove(ctx, k, service, row.Version); err != nil {
--- a/controller/rollout/worker.go
+++ b/controller/rollout/worker.go
@@ -9,8 +9,8 @@
 
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/ledger"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/rollout"
 )
 
@@ -314,7 +314,7 @@
 	w.mu.Unlock()
 	w.c.o.Scope.Counter("rollout_batch_writes").Inc(1)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, infra.ErrConflict):
 		w.c.o.Log.Info("batch refused: the step has another owner", "step", w.key.id)
 		w.c.drop(w)
 	case err != nil:
--- /dev/null
+++ b/controller/steps/rows.go
@@ -0,0 +1,277 @@
+package steps
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/infra"
+)
+
+// Keys of a step's rows.
+const (
+	statePrefix  = "state/"
+	headKey      = "state/head"
+	ownerKey     = "state/owner"
+	endKey       = "state/end"
+	specPrefix   = "spec/"
+	resultPrefix = "result/"
+	savedPrefix  = "saved/"
+)
+
+const (
+	// rowBytes bounds the value of a row, in bytes, with room for what the
+	// table adds.
+	rowBytes = 60_000
+	// txBytes and txRows bound a transaction.
+	txBytes = 600_000
+	txRows  = 90
+	// page is the number of rows read at a time.
+	page = 500
+)
+
+// head is the row of that name.
+type head struct {
+	durable.Spec
+	// Refused heads stand for a step that was refused.
+	Refused bool `json:"refused,omitempty"`
+	// Tag is that of the rows of samples, and Total the number of samples.
+	Tag   string `json:"tag"`
+	Total int    `json:"total"`
+}
+
+// owner is the row of that name. An empty Instance means that nobody owns the
+// step.
+type owner struct {
+	Instance    string `json:"instance"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// state is what the rows under statePrefix say.
+type state struct {
+	head         head
+	headVersion  uint64
+	owner        owner
+	ownerVersion uint64
+	ended        bool
+}
+
+// accepted reports whether there is a step.
+func (s state) accepted() bool { return s.headVersion > 0 && !s.head.Refused }
+
+func readState(ctx context.Context, t infra.Table) (state, error) {
+	rows, err := t.List(ctx, statePrefix, "", page)
+	if err != nil {
+		return state{}, err
+	}
+	var s state
+	for _, row := range rows {
+		switch row.Key {
+		case headKey:
+			s.headVersion = row.Version
+			err = json.Unmarshal(row.Value, &s.head)
+		case ownerKey:
+			s.ownerVersion = row.Version
+			err = json.Unmarshal(row.Value, &s.owner)
+		case endKey:
+			s.ended = true
+		}
+		if err != nil {
+			return state{}, fmt.Errorf("decode %s: %w", row.Key, err)
+		}
+	}
+	return s, nil
+}
+
+// split cuts a value into rows under a prefix: PREFIX/00, PREFIX/01 and so on.
+// A row's first byte says whether more follow.
+func split(prefix string, value []byte) []infra.Op {
+	var ops []infra.Op
+	for n := 0; ; n++ {
+		part := value[:min(len(value), rowBytes)]
+		value = value[len(part):]
+		mark := byte('.')
+		if len(value) > 0 {
+			mark = '+'
+		}
+		row := append([]byte{mark}, part...)
+		ops = append(ops, infra.PutIf(fmt.Sprintf("%s/%02d", prefix, n), 0, row))
+		if len(value) == 0 {
+			return ops
+		}
+	}
+}
+
+// join puts values that were split together again. A last value that is cut
+// short by the end of the list is left out.
+func join(rows []infra.Row) ([][]byte, error) {
+	var values [][]byte
+	var part []byte
+	for _, row := range rows {
+		if len(row.Value) == 0 {
+			return nil, fmt.Errorf("row %s is empty", row.Key)
+		}
+		part = append(part, row.Value[1:]...)
+		if row.Value[0] == '.' {
+			values = append(values, part)
+			part = nil
+		}
+	}
+	return values, nil
+}
+
+// resultKey begins the keys of a result's rows.
+func resultKey(position int) string { return fmt.Sprintf("%s%06d", resultPrefix, position) }
+
+// specOps returns the rows of the samples, as few as they fit in. The value of
+// each is a JSON list.
+func specOps(tag string, samples []durable.Sample) ([]infra.Op, error) {
+	var ops []infra.Op
+	var list []json.RawMessage
+	size := 0
+	flush := func() {
+		value, err := json.Marshal(list)
+		if err != nil {
+			panic("steps: encode samples: " + err.Error()) // each is valid JSON
+		}
+		ops = append(ops, split(fmt.Sprintf("%s%s/%05d", specPrefix, tag, len(ops)), value)...)
+		list, size = nil, 0
+	}
+	for _, sample := range samples {
+		value, err := json.Marshal(sample)
+		if err != nil {
+			return nil, fmt.Errorf("encode sample %s: %w", sample.ID, err)
+		}
+		if size > 0 && size+len(value) > rowBytes {
+			flush()
+		}
+		list = append(list, value)
+		size += len(value) + 1
+	}
+	flush()
+	return ops, nil
+}
+
+// readSamples reads the samples of a step.
+func readSamples(ctx context.Context, t infra.Table, h head) ([]durable.Sample, error) {
+	rows, err := listAll(ctx, t, specPrefix+h.Tag+"/")
+	if err != nil {
+		return nil, err
+	}
+	values, err := join(rows)
+	if err != nil {
+		return nil, err
+	}
+	var samples []durable.Sample
+	for _, value := range values {
+		var list []durable.Sample
+		if err := json.Unmarshal(value, &list); err != nil {
+			return nil, fmt.Errorf("decode samples: %w", err)
+		}
+		samples = append(samples, list...)
+	}
+	if len(samples) != h.Total {
+		return nil, fmt.Errorf("step %s has %d samples, want %d", h.ID, len(samples), h.Total)
+	}
+	return samples, nil
+}
+
+func listAll(ctx context.Context, t infra.Table, prefix string) ([]infra.Row, error) {
+	var all []infra.Row
+	for after := ""; ; {
+		rows, err := t.List(ctx, prefix, after, page)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < page {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// readResults reads results from a position on, as many as come in one page.
+func readResults(ctx context.Context, t infra.Table, from int) ([]durable.Result, error) {
+	after := ""
+	if from > 0 {
+		after = resultKey(from-1) + "/99"
+	}
+	rows, err := t.List(ctx, resultPrefix, after, page)
+	if err != nil {
+		return nil, err
+	}
+	values, err := join(rows)
+	if err != nil {
+		return nil, err
+	}
+	results := make([]durable.Result, len(values))
+	for i, value := range values {
+		if err := json.Unmarshal(value, &results[i]); err != nil {
+			return nil, fmt.Errorf("decode result %d: %w", from+i, err)
+		}
+	}
+	return results, nil
+}
+
+// readAllResults reads all results.
+func readAllResults(ctx context.Context, t infra.Table) ([]durable.Result, error) {
+	var all []durable.Result
+	for {
+		list, err := readResults(ctx, t, len(all))
+		if err != nil {
+			return nil, err
+		}
+		if len(list) == 0 {
+			return all, nil
+		}
+		all = append(all, list...)
+	}
+}
+
+// readSaved reads the unfinished samples, and the versions of their rows by ID.
+func readSaved(ctx context.Context, t infra.Table) ([]durable.Saved, map[string]uint64, error) {
+	rows, err := listAll(ctx, t, savedPrefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	var list []durable.Saved
+	versions := map[string]uint64{}
+	for _, row := range rows {
+		var v durable.Saved
+		if err := json.Unmarshal(row.Value, &v); err != nil {
+			return nil, nil, fmt.Errorf("decode %s: %w", row.Key, err)
+		}
+		list = append(list, v)
+		versions[v.ID] = row.Version
+	}
+	return list, versions, nil
+}
+
+// commitAll writes rows in as many transactions as they need. It may be
+// repeated: rows that are there already are not written again.
+func commitAll(ctx context.Context, t infra.Table, ops []infra.Op) error {
+	for len(ops) > 0 {
+		n := fitting(ops)
+		err := t.Commit(ctx, ops[:n]...)
+		if err != nil && !errors.Is(err, infra.ErrConflict) {
+			return err
+		}
+		ops = ops[n:]
+	}
+	return nil
+}
+
+// fitting returns how many of the ops fit into a transaction, at least one.
+func fitting(ops []infra.Op) int {
+	size := 0
+	for n, op := range ops {
+		size += len(op.Value)
+		if n > 0 && (n >= txRows || size > txBytes) {
+			return n
+		}
+	}
+	return len(ops)
+}
--- /dev/null
+++ b/controller/steps/runner.go
@@ -0,0 +1,488 @@
+package steps
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/effect"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/view"
+)
+
+const (
+	// tickPeriod is the longest time between two looks at a step, and fullTick
+	// that while samples wait for room.
+	tickPeriod = 250 * time.Millisecond
+	fullTick   = 20 * time.Millisecond
+	// batchDelay lets further results join those that are to be stored.
+	batchDelay = 25 * time.Millisecond
+	// checkPeriod is the time between two reads of a step's state.
+	checkPeriod = 500 * time.Millisecond
+	// savePeriod is the time between two writes of unfinished samples, and
+	// saveEvents the least number of new events of a sample that is saved.
+	savePeriod = time.Second
+	saveEvents = 12
+	// retryPause is the time before a failed write is tried again.
+	retryPause = 100 * time.Millisecond
+)
+
+// runner runs one step as its owner.
+type runner struct {
+	c            *Controller
+	log          *slog.Logger
+	spec         durable.Spec
+	t            infra.Table
+	ownerVersion uint64
+	kick         chan struct{}
+	// over ends the runner.
+	over context.CancelFunc
+	// done is closed when it has ended.
+	done chan struct{}
+
+	mu      sync.Mutex
+	step    *durable.Step
+	streams map[durable.RunID]context.CancelFunc
+	results []durable.Result
+	// saved holds the versions of the rows of unfinished samples.
+	saved map[string]uint64
+	// news is closed when results are added.
+	news chan struct{}
+	// paused says that no stream is begun any more.
+	paused bool
+}
+
+func newRunner(c *Controller, step *durable.Step, t infra.Table, ownerVersion uint64, results []durable.Result) *runner {
+	return &runner{
+		c:            c,
+		log:          c.o.Log.With("step", step.Spec().ID),
+		spec:         step.Spec(),
+		t:            t,
+		ownerVersion: ownerVersion,
+		kick:         make(chan struct{}, 1),
+		over:         func() {},
+		done:         make(chan struct{}),
+		step:         step,
+		streams:      map[durable.RunID]context.CancelFunc{},
+		results:      results,
+		saved:        map[string]uint64{},
+		news:         make(chan struct{}),
+	}
+}
+
+// run works until the step is done, ended, or owned by another instance.
+func (r *runner) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer close(r.done)
+	defer cancel()
+	r.mu.Lock()
+	r.over = cancel
+	r.mu.Unlock()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer r.cancelStreams()
+	wg.Go(func() { r.storeLoop(ctx) })
+	wg.Go(func() { r.checkLoop(ctx) })
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		pause := r.tick(ctx, &wg)
+		if r.isDone() {
+			r.logEnd()
+			return
+		}
+		timer.Reset(pause)
+		select {
+		case <-timer.C:
+		case <-r.kick:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (r *runner) logEnd() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.log.Info("step done", "results", r.step.Position(), "samples", len(r.spec.Samples),
+		"after_ms", unixMillis()-r.spec.Submitted)
+}
+
+func (r *runner) look() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// tick does what the step asks for, and returns when to look again.
+func (r *runner) tick(ctx context.Context, wg *sync.WaitGroup) time.Duration {
+	r.mu.Lock()
+	if unixMillis() > r.spec.GiveUp {
+		r.step.GiveUp()
+	}
+	var endpoints []durable.Endpoint
+	v := r.c.o.Views.Load()
+	if !r.paused {
+		endpoints = endpointsOf(v, r.spec)
+	}
+	actions := r.step.Tick(r.c.o.Clock.Now(), endpoints)
+	pause := tickPeriod
+	if r.step.Progress().Waiting > 0 {
+		pause = fullTick
+	}
+	for _, a := range actions {
+		r.perform(ctx, wg, v, a)
+	}
+	r.mu.Unlock()
+	return pause
+}
+
+// perform carries out an action. The caller holds the lock.
+func (r *runner) perform(ctx context.Context, wg *sync.WaitGroup, v *view.View, a durable.Action) {
+	switch a := a.(type) {
+	case durable.Cancel:
+		if cancel := r.streams[a.Run]; cancel != nil {
+			cancel()
+			delete(r.streams, a.Run)
+		}
+	case durable.Score:
+		wg.Go(func() { r.score(ctx, a) })
+	case durable.Start:
+		e, ok := v.EndpointByName(a.Endpoint)
+		if !ok {
+			r.step.Ended(r.c.o.Clock.Now(), a.Run, durable.Refused)
+			return
+		}
+		run, cancel := context.WithCancel(ctx)
+		r.streams[a.Run] = cancel
+		e.Stats.InFlight.Add(1)
+		wg.Go(func() {
+			defer cancel()
+			r.stream(run, e, a)
+		})
+	}
+}
+
+// stream runs a sample at an endpoint.
+func (r *runner) stream(ctx context.Context, e *view.Endpoint, a durable.Start) {
+	began := r.c.o.Clock.Now()
+	events := 0
+	err := r.c.o.Engines.Generate(ctx, r.generation(e, a), func(ev infra.Event) error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		events++
+		return r.step.Event(a.Run, ev.Index, ev.Text, ev.Version)
+	})
+	e.Stats.InFlight.Add(-1)
+	end := endOf(err)
+	now := r.c.o.Clock.Now()
+	if end != durable.Whole && ctx.Err() == nil {
+		r.log.Info("sample stream ended early", "sample", a.Sample.ID, "endpoint", e.Name,
+			"after", a.After, "events", events, "took", now-began, "error", err)
+		r.c.o.Scope.Counter("sample_streams_broken").Inc(1)
+	}
+	r.mu.Lock()
+	delete(r.streams, a.Run)
+	r.step.Ended(now, a.Run, end)
+	r.mu.Unlock()
+	r.look()
+}
+
+func (r *runner) generation(e *view.Endpoint, a durable.Start) infra.Generation {
+	return infra.Generation{
+		Engine: infra.EngineRef{Endpoint: e.Name, Addr: e.Addr},
+		ID:     a.Sample.ID,
+		Host:   r.spec.Host,
+		Team:   r.spec.Team,
+		Path:   a.Sample.Path,
+		Header: a.Sample.Header,
+		Body:   a.Sample.Body,
+		After:  a.After,
+		Budget: time.Duration(r.spec.GiveUp-unixMillis()) * time.Millisecond,
+	}
+}
+
+func endOf(err error) durable.End {
+	switch {
+	case err == nil:
+		return durable.Whole
+	case errors.Is(err, infra.ErrNotRun):
+		return durable.Refused
+	case errors.Is(err, infra.ErrSampleFailed):
+		return durable.Failed
+	case errors.Is(err, infra.ErrSampleRejected):
+		return durable.Rejected
+	}
+	return durable.Broken
+}
+
+func (r *runner) score(ctx context.Context, a durable.Score) {
+	score, end := r.c.o.Score(ctx, a.Scorer)
+	if end != durable.ScoreDone && ctx.Err() == nil {
+		r.log.Info("sample not scored", "sample", a.ID, "call", a.Scorer.ID, "failed", end == durable.ScoreFailed)
+	}
+	r.mu.Lock()
+	r.step.Scored(r.c.o.Clock.Now(), a.ID, score, end)
+	r.mu.Unlock()
+	r.look()
+}
+
+func (r *runner) isDone() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.step.Done()
+}
+
+// finish ends the step.
+func (r *runner) finish() {
+	r.mu.Lock()
+	for _, a := range r.step.Finish() {
+		if cancel := r.streams[a.(durable.Cancel).Run]; cancel != nil {
+			cancel()
+		}
+	}
+	r.mu.Unlock()
+	r.look()
+}
+
+func (r *runner) cancelStreams() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, cancel := range r.streams {
+		cancel()
+	}
+}
+
+// listed returns what is closed when the next results are stored.
+func (r *runner) listed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.news
+}
+
+func (r *runner) resultsFrom(from int) []durable.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results[min(from, len(r.results)):]
+}
+
+// storeLoop stores results, and now and then what has come of other samples.
+func (r *runner) storeLoop(ctx context.Context) {
+	savedAt := r.c.o.Clock.Now()
+	for sleep(ctx, batchDelay) == nil {
+		r.mu.Lock()
+		b := r.step.Batch()
+		r.mu.Unlock()
+		if b != nil && !r.store(ctx, b) {
+			return
+		}
+		if now := r.c.o.Clock.Now(); now-savedAt > savePeriod {
+			savedAt = now
+			r.save(ctx, saveEvents)
+		}
+	}
+}
+
+// store writes a batch until it is there, and reports whether this instance
+// still owns the step.
+func (r *runner) store(ctx context.Context, b *durable.Batch) bool {
+	began := r.c.o.Clock.Now()
+	ops, err := r.resultOps(b)
+	if err != nil {
+		r.log.Error("results not encoded", "error", err)
+		return false
+	}
+	for {
+		err := r.commit(ctx, ops)
+		switch infra.EffectOf(err) {
+		case effect.Done:
+			r.stored(b, began)
+			return true
+		case effect.Conflict, effect.Unknown:
+			done, owns := r.resolve(ctx, b)
+			if done {
+				r.stored(b, began)
+				return true
+			}
+			if !owns {
+				return false
+			}
+		}
+		if sleep(ctx, retryPause) != nil {
+			return false
+		}
+	}
+}
+
+func (r *runner) resultOps(b *durable.Batch) ([]infra.Op, error) {
+	ops := []infra.Op{infra.Check(ownerKey, r.ownerVersion)}
+	for i, result := range b.Results {
+		value, err := json.Marshal(result)
+		if err != nil {
+			return nil, err
+		}
+		ops = append(ops, split(resultKey(b.Position+i), value)...)
+	}
+	return ops, nil
+}
+
+func (r *runner) commit(ctx context.Context, ops []infra.Op) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.t.Commit(ctx, ops...)
+}
+
+// resolve finds out whether a batch is stored, and if not, whether this
+// instance still owns the step.
+func (r *runner) resolve(ctx context.Context, b *durable.Batch) (done, owns bool) {
+	for ctx.Err() == nil {
+		list, err := r.readBatch(ctx, b)
+		if err == nil && len(list) > 0 {
+			return list[0].ID == b.Results[0].ID, false
+		}
+		if err == nil {
+			owns, err = r.owns(ctx)
+			if err == nil {
+				return false, owns
+			}
+		}
+		r.log.Warn("outcome of a write not known yet", "position", b.Position, "error", err)
+		if sleep(ctx, retryPause) != nil {
+			break
+		}
+	}
+	return false, false
+}
+
+func (r *runner) readBatch(ctx context.Context, b *durable.Batch) ([]durable.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return readResults(ctx, r.t, b.Position)
+}
+
+// owns reads whether this instance still owns the step.
+func (r *runner) owns(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := readState(ctx, r.t)
+	if err != nil {
+		return false, err
+	}
+	if s.ownerVersion != r.ownerVersion {
+		r.lose(s)
+		return false, nil
+	}
+	if s.ended {
+		r.finish()
+	}
+	return true, nil
+}
+
+// lose stops the runner of a step that another instance owns.
+func (r *runner) lose(s state) {
+	r.log.Warn("step lost", "owner", s.owner.Instance, "incarnation", s.owner.Incarnation)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over()
+}
+
+func (r *runner) stored(b *durable.Batch, began time.Duration) {
+	took := r.c.o.Clock.Now() - began
+	r.c.o.Scope.Timer("step_commit").Record(took)
+	r.log.Info("results stored", "position", b.Position, "results", len(b.Results), "took", took)
+	r.mu.Lock()
+	r.step.Stored()
+	r.results = append(r.results, b.Results...)
+	close(r.news)
+	r.news = make(chan struct{})
+	r.mu.Unlock()
+	r.look()
+}
+
+// save writes what has come of samples that are under way.
+func (r *runner) save(ctx context.Context, least int) {
+	r.mu.Lock()
+	list := r.step.Unsaved(least)
+	r.mu.Unlock()
+	for len(list) > 0 && ctx.Err() == nil {
+		n, ops := r.saveOps(list)
+		if err := r.commit(ctx, ops); err != nil {
+			r.log.Debug("unfinished samples not saved", "error", err)
+			r.readSavedVersions(ctx)
+			return
+		}
+		r.wasSaved(list[:n])
+		list = list[n:]
+	}
+}
+
+func (r *runner) wasSaved(list []durable.Saved) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range list {
+		r.step.WasSaved(v)
+		r.saved[v.ID]++
+	}
+}
+
+// readSavedVersions finds out which rows of unfinished samples there are.
+func (r *runner) readSavedVersions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, versions, err := readSaved(ctx, r.t)
+	if err != nil {
+		return // the next write fails as well, and tries this again
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saved = versions
+}
+
+// saveOps returns the rows of as many samples as fit into a transaction, and
+// their number. Samples too long for a row are left out.
+func (r *runner) saveOps(list []durable.Saved) (int, []infra.Op) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ops := []infra.Op{infra.Check(ownerKey, r.ownerVersion)}
+	for n, v := range list {
+		value, err := json.Marshal(v)
+		if err != nil || len(value) > rowBytes {
+			continue
+		}
+		ops = append(ops, infra.PutIf(savedPrefix+v.ID, r.saved[v.ID], value))
+		if fitting(ops) < len(ops) {
+			return n, ops[:len(ops)-1]
+		}
+	}
+	return len(list), ops
+}
+
+// checkLoop looks whether the step was ended, or lost, elsewhere.
+func (r *runner) checkLoop(ctx context.Context) {
+	for sleep(ctx, checkPeriod) == nil {
+		if _, err := r.owns(ctx); err != nil {
+			r.log.Debug("step's state not read", "error", err)
+		}
+	}
+}
+
+// handOver saves what there is and gives the step up.
+func (r *runner) handOver(ctx context.Context) {
+	r.mu.Lock()
+	r.paused = true
+	r.mu.Unlock()
+	r.save(ctx, 1)
+	err := r.commit(ctx, []infra.Op{infra.PutJSON(ownerKey, r.ownerVersion, owner{})})
+	r.log.Info("step handed over", "error", err)
+	r.mu.Lock()
+	r.over()
+	r.mu.Unlock()
+	select {
+	case <-r.done:
+	case <-ctx.Done():
+	}
+}
--- a/controller/usage/controller.go
+++ b/controller/usage/controller.go
@@ -10,7 +10,7 @@
 
 	"github.com/cumincove/cumincove/controller/leases"
 	"github.com/cumincove/cumincove/effect"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/window"
 )
 
@@ -26,8 +26,8 @@
 
 // Options says what a Controller works with.
 type Options struct {
-	Table   platform.Table
-	Reports platform.UsageReports
+	Table   infra.Table
+	Reports infra.UsageReports
 	Keeper  *leases.Keeper
 	// Holder is this instance's name. Incarnation must differ from that of
 	// every earlier process of this name.
@@ -39,12 +39,16 @@
 	Window time.Duration
 	// Flush is the period between two writes of this instance's totals.
 	Flush time.Duration
+	// Grace is how long after its end a window is closed; zero stands for the
+	// time of two flushes.
+	Grace time.Duration
 }
 
 // Controller flushes, and seals and reports while it holds the duty.
 type Controller struct {
 	o       Options
 	counter *Counter
+	windows *Windows
 	cfg     window.Config
 	rows    rows
 	tally   *window.Tally
@@ -68,10 +72,14 @@
 	length := max(int64(o.Window/time.Second), 1)
 	// A window closes when the instances had time to flush twice.
 	grace := int64(2*o.Flush/time.Second) + 1
+	if o.Grace > 0 {
+		grace = int64(o.Grace / time.Second)
+	}
 	cfg := window.Config{Length: length, Grace: grace, Keep: keepWindows}
 	return &Controller{
 		o:         o,
 		counter:   &Counter{},
+		windows:   NewWindows(length),
 		cfg:       cfg,
 		rows:      rows{part: fmt.Sprintf("%s/%d", o.Holder, o.Incarnation)},
 		tally:     window.NewTally(cfg.Start(time.Now().Unix())),
@@ -89,6 +97,9 @@
 // Counter is where the path of requests counts usage.
 func (c *Controller) Counter() *Counter { return c.counter }
 
+// Windows is where requests are counted by when they began.
+func (c *Controller) Windows() *Windows { return c.windows }
+
 // Run works until ctx ends, then flushes once more.
 func (c *Controller) Run(ctx context.Context) error {
 	t := time.NewTicker(c.o.Flush)
@@ -116,6 +127,11 @@
 	for team, u := range c.counter.drain() {
 		c.tally.Add(team, u)
 	}
+	for w, totals := range c.windows.drain() {
+		for team, u := range totals {
+			c.tally.AddTo(w, team, u)
+		}
+	}
 	for a := c.tally.Next(); a != nil; a = c.tally.Next() {
 		c.tally.Step(c.tallyCall(ctx, a))
 	}
--- a/controller/usage/counter.go
+++ b/controller/usage/counter.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cumincove/cumincove/window"
 )
@@ -45,6 +46,39 @@
 	return t.(*teamCounter)
 }
 
+// Windows counts requests by the window in which they began to run. It is safe
+// for concurrent use.
+type Windows struct {
+	mu     sync.Mutex
+	length int64
+	counts map[int64]window.Totals
+}
+
+// NewWindows returns Windows of a length in seconds.
+func NewWindows(length int64) *Windows {
+	return &Windows{length: length, counts: map[int64]window.Totals{}}
+}
+
+// Began counts a request of a team that began to run at a time of day.
+func (w *Windows) Began(team string, at time.Time) {
+	start := window.Config{Length: w.length}.Start(at.Unix())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.counts[start] == nil {
+		w.counts[start] = window.Totals{}
+	}
+	w.counts[start].Add(team, window.Usage{Requests: 1})
+}
+
+// drain returns the usage since the last call, by window.
+func (w *Windows) drain() map[int64]window.Totals {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := w.counts
+	w.counts = map[int64]window.Totals{}
+	return counts
+}
+
 // drain returns the usage since the last call.
 func (c *Counter) drain() window.Totals {
 	totals := window.Totals{}
--- a/controller/usage/rows.go
+++ b/controller/usage/rows.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/window"
 )
 
@@ -38,28 +38,28 @@
 	return strconv.ParseInt(text, 10, 64)
 }
 
-func (r rows) upsert(u window.Upsert) []platform.Op {
-	return []platform.Op{
-		platform.Check(closedKey, u.ClosedVersion),
-		platform.PutJSON(partsOf(u.Window)+r.part, u.IfVersion, u.Totals),
+func (r rows) upsert(u window.Upsert) []infra.Op {
+	return []infra.Op{
+		infra.Check(closedKey, u.ClosedVersion),
+		infra.PutJSON(partsOf(u.Window)+r.part, u.IfVersion, u.Totals),
 	}
 }
 
 // readPart reads the closed row first: if it says that the window is closed,
 // the part can't change any more.
-func (r rows) readPart(ctx context.Context, t platform.Table, w int64) (p window.PartRead, err error) {
-	if p.ClosedVersion, err = platform.GetJSON(ctx, t, closedKey, &p.Closed); err != nil {
+func (r rows) readPart(ctx context.Context, t infra.Table, w int64) (p window.PartRead, err error) {
+	if p.ClosedVersion, err = infra.GetJSON(ctx, t, closedKey, &p.Closed); err != nil {
 		return p, err
 	}
-	p.Version, err = platform.GetJSON(ctx, t, partsOf(w)+r.part, &p.Totals)
+	p.Version, err = infra.GetJSON(ctx, t, partsOf(w)+r.part, &p.Totals)
 	return p, err
 }
 
-func (r rows) readState(ctx context.Context, t platform.Table) (s window.State, err error) {
-	if s.ClosedVersion, err = platform.GetJSON(ctx, t, closedKey, &s.Closed); err != nil {
+func (r rows) readState(ctx context.Context, t infra.Table) (s window.State, err error) {
+	if s.ClosedVersion, err = infra.GetJSON(ctx, t, closedKey, &s.Closed); err != nil {
 		return s, err
 	}
-	if s.CursorVersion, err = platform.GetJSON(ctx, t, cursorKey, &s.Cursor); err != nil || s.CursorVersion > 0 {
+	if s.CursorVersion, err = infra.GetJSON(ctx, t, cursorKey, &s.Cursor); err != nil || s.CursorVersion > 0 {
 		return s, err
 	}
 	first, err := t.List(ctx, partPrefix, "", 1)
@@ -71,7 +71,7 @@
 	return s, err
 }
 
-func (r rows) listParts(ctx context.Context, t platform.Table, w int64) (window.Parts, error) {
+func (r rows) listParts(ctx context.Context, t infra.Table, w int64) (window.Parts, error) {
 	var parts window.Parts
 	for after := ""; ; {
 		page, err := t.List(ctx, partsOf(w), after, rowPage)
@@ -92,41 +92,41 @@
 	}
 }
 
-func (r rows) readFrozen(ctx context.Context, t platform.Table, w int64) (window.Frozen, error) {
+func (r rows) readFrozen(ctx context.Context, t infra.Table, w int64) (window.Frozen, error) {
 	f := window.Frozen{}
-	version, err := platform.GetJSON(ctx, t, sealedKey(w), &f.Report)
+	version, err := infra.GetJSON(ctx, t, sealedKey(w), &f.Report)
 	if err == nil && version == 0 {
-		err = fmt.Errorf("%s: %w", sealedKey(w), platform.ErrNotFound)
+		err = fmt.Errorf("%s: %w", sealedKey(w), infra.ErrNotFound)
 	}
 	return f, err
 }
 
-func (r rows) close(c window.Close, fence platform.Op) []platform.Op {
-	return []platform.Op{fence, platform.PutJSON(closedKey, c.IfVersion, c.Closed)}
+func (r rows) close(c window.Close, fence infra.Op) []infra.Op {
+	return []infra.Op{fence, infra.PutJSON(closedKey, c.IfVersion, c.Closed)}
 }
 
-func (r rows) move(m window.MoveCursor, fence platform.Op) []platform.Op {
-	ops := []platform.Op{fence, platform.PutJSON(cursorKey, m.IfVersion, m.Cursor)}
+func (r rows) move(m window.MoveCursor, fence infra.Op) []infra.Op {
+	ops := []infra.Op{fence, infra.PutJSON(cursorKey, m.IfVersion, m.Cursor)}
 	if m.Freeze != nil {
-		ops = append(ops, platform.PutJSON(sealedKey(m.Freeze.Window), 0, m.Freeze))
+		ops = append(ops, infra.PutJSON(sealedKey(m.Freeze.Window), 0, m.Freeze))
 	}
 	return ops
 }
 
 // prune deletes one page of parts of windows before the given one. What is
 // left over is deleted the next time.
-func (r rows) prune(ctx context.Context, t platform.Table, before int64, fence platform.Op) error {
+func (r rows) prune(ctx context.Context, t infra.Table, before int64, fence infra.Op) error {
 	page, err := t.List(ctx, partPrefix, "", rowPage)
 	if err != nil {
 		return nil // the closing counts, not the pruning
 	}
-	ops := []platform.Op{fence}
+	ops := []infra.Op{fence}
 	for _, row := range page {
 		w, err := windowOf(row.Key)
 		if err != nil || w >= before {
 			break
 		}
-		ops = append(ops, platform.Delete(row.Key))
+		ops = append(ops, infra.Delete(row.Key))
 	}
 	if len(ops) > 1 {
 		_ = t.Commit(ctx, ops...)
--- a/controller/usage/seal.go
+++ b/controller/usage/seal.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/invariant"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/window"
 )
 
@@ -88,11 +88,11 @@
 	same := c.sent.same(r)
 	invariant.Check(invariant.OneReporter, same, "window %d was reported with other figures before", r.Window)
 	if !same {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
-	msg := platform.UsageReport{Window: r.Window, Holder: c.o.Holder, Epoch: epoch, Teams: teamUsage(r.Teams)}
+	msg := infra.UsageReport{Window: r.Window, Holder: c.o.Holder, Epoch: epoch, Teams: teamUsage(r.Teams)}
 	err := c.o.Reports.Report(ctx, msg)
-	if errors.Is(err, platform.ErrStaleEpoch) {
+	if errors.Is(err, infra.ErrStaleEpoch) {
 		invariant.Check(invariant.OneReporter, c.duty.Guard().Check(epoch) != nil,
 			"window %d: report of epoch %d refused as stale while the lease is held", r.Window, epoch)
 	}
--- a/controller/usage/status.go
+++ b/controller/usage/status.go
@@ -8,7 +8,7 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/code"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/window"
 )
 
@@ -19,14 +19,14 @@
 func (c *Controller) Window(ctx context.Context, w int64) (api.Usage, error) {
 	if w == 0 {
 		var cursor window.Cursor
-		if _, err := platform.GetJSON(ctx, c.o.Table, cursorKey, &cursor); err != nil {
+		if _, err := infra.GetJSON(ctx, c.o.Table, cursorKey, &cursor); err != nil {
 			return api.Usage{}, code.Wrap(code.StoreDown, err, "read usage cursor")
 		}
 		w = cursor.Seal - int64(c.o.Window.Seconds())
 	}
 	u := api.Usage{Window: w}
 	frozen, err := c.rows.readFrozen(ctx, c.o.Table, w)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return u, nil
 	}
 	if err != nil {
@@ -38,11 +38,11 @@
 }
 
 // teamUsage lists usage by team, in order of name.
-func teamUsage(totals window.Totals) []platform.TeamUsage {
-	var list []platform.TeamUsage
+func teamUsage(totals window.Totals) []infra.TeamUsage {
+	var list []infra.TeamUsage
 	for _, team := range slices.Sorted(maps.Keys(totals)) {
 		u := totals[team]
-		list = append(list, platform.TeamUsage{Team: team, Requests: u.Requests, Tokens: u.Tokens, Late: u.Late})
+		list = append(list, infra.TeamUsage{Team: team, Requests: u.Requests, Tokens: u.Tokens, Late: u.Late})
 	}
 	return list
 }
--- a/controller/usage/usage_test.go
+++ b/controller/usage/usage_test.go
@@ -18,9 +18,9 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/controller/leases"
 	"github.com/cumincove/cumincove/controller/usage"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/internal/systemtest"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -38,13 +38,13 @@
 
 // cut is a table whose writes stop arriving.
 type cut struct {
-	platform.Table
+	infra.Table
 	off *atomic.Bool
 }
 
-func (c *cut) Commit(ctx context.Context, ops ...platform.Op) error {
+func (c *cut) Commit(ctx context.Context, ops ...infra.Op) error {
 	if c.off.Load() {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	return c.Table.Commit(ctx, ops...)
 }
@@ -86,7 +86,7 @@
 			time.Sleep(700 * time.Millisecond) // the instances flush at different times
 		}
 		rnd := rand.New(rand.NewPCG(1, 2))
-		var want platform.TeamUsage
+		var want infra.TeamUsage
 		for second := range 1800 {
 			switch {
 			case second == 600:
@@ -116,7 +116,7 @@
 	})
 }
 
-func check(t *testing.T, list []platform.UsageReport, want platform.TeamUsage) {
+func check(t *testing.T, list []infra.UsageReport, want infra.TeamUsage) {
 	t.Helper()
 	got := sum(t, list)
 	t.Logf("%d reports: %d requests, %d tokens, %d of them late", len(list), got.Requests, got.Tokens, got.Late)
@@ -129,10 +129,10 @@
 }
 
 // sum adds up the reports, each window once.
-func sum(t *testing.T, list []platform.UsageReport) platform.TeamUsage {
+func sum(t *testing.T, list []infra.UsageReport) infra.TeamUsage {
 	t.Helper()
-	windows := map[int64][]platform.TeamUsage{}
-	var got platform.TeamUsage
+	windows := map[int64][]infra.TeamUsage{}
+	var got infra.TeamUsage
 	for _, r := range list {
 		if before, ok := windows[r.Window]; ok {
 			if !reflect.DeepEqual(before, r.Teams) {
--- a/controller/weights/http.go
+++ b/controller/weights/http.go
@@ -9,7 +9,7 @@
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/filter"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // PublishRequest is the body of POST /v1/services/{service}/weights.
@@ -43,7 +43,7 @@
 	switch {
 	case errors.Is(err, ErrOldVersion):
 		return code.Wrap(code.VersionConflict, err, "")
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, infra.ErrUnknownOutcome):
 		return code.Wrap(code.CommitUnknown, err, "")
 	case err != nil:
 		return code.Wrap(code.StoreDown, err, "")
--- a/controller/weights/site.go
+++ b/controller/weights/site.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/lease"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 	"github.com/cumincove/cumincove/weights"
 	"github.com/google/uuid"
@@ -278,7 +278,7 @@
 }
 
 func notSent(err error) bool {
-	return errors.Is(err, engine.ErrNotRun) || errors.Is(err, platform.ErrStaleEpoch) ||
+	return errors.Is(err, engine.ErrNotRun) || errors.Is(err, infra.ErrStaleEpoch) ||
 		errors.Is(err, lease.ErrNotHeld)
 }
 
--- a/controller/weights/target.go
+++ b/controller/weights/target.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // targetPrefix starts the keys of the rows that hold the wanted versions.
@@ -27,7 +27,7 @@
 
 // Targets are the wanted weight versions of services in the store.
 type Targets struct {
-	Table platform.Table
+	Table infra.Table
 }
 
 // Newest returns the version that was published last for the service; zero if
@@ -54,8 +54,8 @@
 		if err != nil {
 			return err
 		}
-		err = t.Table.Commit(ctx, platform.PutIf(targetPrefix+service, row, value))
-		if !errors.Is(err, platform.ErrConflict) {
+		err = t.Table.Commit(ctx, infra.PutIf(targetPrefix+service, row, value))
+		if !errors.Is(err, infra.ErrConflict) {
 			return err
 		}
 	}
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	row, err := t.Table.Get(ctx, targetPrefix+service)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, infra.ErrNotFound) {
 		return target{}, 0, nil
 	}
 	if err != nil {
--- a/engine/client.go
+++ b/engine/client.go
@@ -11,7 +11,7 @@
 	"net/http/httptrace"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 var (
@@ -30,7 +30,7 @@
 const answerBytes = 256 << 20
 
 // Client speaks the protocol to engines. With connections of type *lease.Conn
-// the guard of a call's context (see platform.WithGuard) is checked at each
+// the guard of a call's context (see infra.WithGuard) is checked at each
 // write.
 type Client struct {
 	HTTP *http.Client
@@ -80,7 +80,7 @@
 	return c.call(ctx, http.MethodPost, addr, "/v1/cancel", id, CancelRequest{RequestID: id}, nil)
 }
 
-// Order sends an order. It returns platform.ErrStaleEpoch when the engine has
+// Order sends an order. It returns infra.ErrStaleEpoch when the engine has
 // seen a higher fencing number. After any other error but ErrNotRun the order
 // may have been carried out.
 func (c *Client) Order(ctx context.Context, addr string, o Order) error {
@@ -137,7 +137,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected = true
 		if c, ok := info.Conn.(checkedConn); ok {
-			c.Require(func() error { return platform.Guard(ctx) })
+			c.Require(func() error { return infra.Guard(ctx) })
 		}
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, "http://"+addr+path, in)
@@ -182,7 +182,7 @@
 	}
 	switch {
 	case resp.StatusCode == http.StatusConflict:
-		return platform.ErrStaleEpoch
+		return infra.ErrStaleEpoch
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		return fmt.Errorf("%w: status %d", ErrNotRun, resp.StatusCode)
 	case resp.StatusCode >= http.StatusBadRequest:
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -46,6 +46,13 @@
 	Idle      time.Duration
 	// MaxAnswer bounds an answer's body, in bytes.
 	MaxAnswer int64
+	// Prepare, if set, adds to the header of an attempt at an endpoint.
+	Prepare func(r *Request, endpoint *view.Endpoint, h http.Header)
+	// Ran, if set, is told of each attempt that an endpoint has begun to run, or
+	// may have, and when it was handed over.
+	Ran func(r *Request, at time.Time)
+	// KeepID sends the request's own ID with every attempt.
+	KeepID bool
 
 	budgets sync.Map // team to *teamBudget
 }
@@ -138,14 +145,24 @@
 	moved *dispatch.Slot
 	// sent counts the bytes of the stream that were passed on.
 	sent int64
+	// handedAt is when the attempt was handed over; zero before.
+	handedAt time.Time
 	// moveAt is when to look for such a place again, in boot time.
 	moveAt time.Duration
 }
 
+// maxAttempts bounds the attempts of the request.
+func (r *Request) maxAttempts() int {
+	if r.Route.MaxAttempts > 0 {
+		return r.Route.MaxAttempts
+	}
+	return maxAttempts
+}
+
 func (t *try) policy() outcome.Policy {
 	return outcome.Policy{
 		Idempotent:  t.r.Service.Idempotent,
-		MaxAttempts: maxAttempts,
+		MaxAttempts: t.r.maxAttempts(),
 		MinTime:     minAttemptTime,
 		Resume:      t.stream != nil && t.stream.Begun(),
 		MaxResumes:  maxResumes,
@@ -256,6 +273,10 @@
 // end ends the attempt in the record and at the endpoint.
 func (t *try) end(slot *dispatch.Slot, result outcome.Result, place dispatch.Result) {
 	_ = t.rec.End(result) // an attempt is under way
+	if t.a.Ran != nil && result != outcome.Refused && !t.handedAt.IsZero() {
+		t.a.Ran(t.r, t.handedAt)
+	}
+	t.handedAt = time.Time{}
 	slot.Done(place)
 }
 
@@ -286,17 +307,21 @@
 	if t.stream != nil && t.stream.Begun() {
 		body = t.stream.Body()
 	}
-	h := attempt.RequestHeader(r.Header)
+	h := t.a.Pool.Dialect().RequestHeader(r.Header)
+	if t.a.Prepare != nil {
+		t.a.Prepare(r, slot.Endpoint, h)
+	}
 	return &attempt.Call{
 		Addr:      slot.Endpoint.Addr,
+		Host:      t.host(),
 		Method:    r.Method,
 		Path:      r.Path,
 		RawPath:   rawPath(r),
 		RawQuery:  r.URL.RawQuery,
 		Header:    h,
 		Body:      body,
-		ID:        attemptID(r.ID, t.rec.Attempts()),
-		MustEcho:  isEngine,
+		ID:        t.attemptID(),
+		MustEcho:  isEngine || t.a.Pool.Dialect().Strict,
 		Stream:    isEngine && r.Path == generatePath,
 		Fresh:     fresh,
 		Once:      !r.Service.Idempotent,
@@ -306,6 +331,22 @@
 	}
 }
 
+// host is the header of that name: endpoints behind routes see the caller's.
+func (t *try) host() string {
+	if t.r.Route.Name == "" {
+		return ""
+	}
+	return t.r.Host
+}
+
+// attemptID is the ID that the endpoint sees.
+func (t *try) attemptID() string {
+	if t.a.KeepID {
+		return t.r.ID
+	}
+	return attemptID(t.r.ID, t.rec.Attempts())
+}
+
 // handOver is the last check before bytes of the request can reach the
 // endpoint.
 func (t *try) handOver(slot *dispatch.Slot, h http.Header) error {
@@ -324,6 +365,7 @@
 	if err := t.assertHandOver(slot, h); err != nil {
 		return err
 	}
+	t.handedAt = time.Now()
 	return t.rec.HandOver()
 }
 
--- a/filter/entry.go
+++ b/filter/entry.go
@@ -33,6 +33,11 @@
 	Elsewhere func() []string
 	// Chain serves the request.
 	Chain Handler
+	// Arrive, if set, reads the request's ID and how long its caller waits.
+	// An empty ID or a time of zero stands for this system's own.
+	Arrive func(r *http.Request) (id string, wait time.Duration)
+	// Refuse, if set, answers a request that failed in place of WriteError.
+	Refuse func(w http.ResponseWriter, r *Request, err error)
 
 	counters sync.Map // code.Number to tally.Counter
 }
@@ -42,14 +47,15 @@
 // answer aborts the connection.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	now := e.Clock.Now()
-	ctx, cancel := context.WithTimeout(hr.Context(), e.RequestTime)
+	id, wait := e.arrive(hr)
+	ctx, cancel := context.WithTimeout(hr.Context(), wait)
 	defer cancel()
 	r := &Request{
 		Request:  hr.WithContext(ctx),
-		ID:       uuid.NewString(),
+		ID:       id,
 		View:     e.Views.Load(),
 		Arrived:  now,
-		Deadline: now + e.RequestTime,
+		Deadline: now + wait,
 	}
 	r.Log = e.Log
 	tw := &trackingWriter{ResponseWriter: w}
@@ -65,9 +71,27 @@
 	if ownFault(err) {
 		w.Header().Set(api.EntriesHeader, strings.Join(e.Elsewhere(), ", "))
 	}
+	if e.Refuse != nil {
+		e.Refuse(w, r, err)
+		return
+	}
 	WriteError(w, r.ID, err)
 }
 
+// arrive returns the request's ID and the time that it may take.
+func (e *Entry) arrive(r *http.Request) (id string, wait time.Duration) {
+	if e.Arrive != nil {
+		id, wait = e.Arrive(r)
+	}
+	if id == "" {
+		id = uuid.NewString()
+	}
+	if wait <= 0 || wait > e.RequestTime {
+		wait = e.RequestTime
+	}
+	return id, wait
+}
+
 // ownFault reports whether another instance may well serve the request.
 func ownFault(err error) bool {
 	switch asCode(err).Number {
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -21,6 +21,9 @@
 	// Service is what the caller asks for, and Path the path below it.
 	Service config.Service
 	Path    string
+	// Route is what led to the service where operators state routes; its name
+	// is empty elsewhere. Path is the whole path then.
+	Route config.Route
 	// Team and KeyDigest are set once the key was checked. Both are empty on
 	// open services.
 	Team      string
--- a/filter/pass.go
+++ b/filter/pass.go
@@ -68,7 +68,7 @@
 // mayTryAgain reports whether a retry is likely to be allowed, for a request
 // whose answer would otherwise be passed on.
 func (t *try) mayTryAgain() bool {
-	return t.rec.Attempts() < maxAttempts && t.ctx.Err() == nil &&
+	return t.rec.Attempts() < t.r.maxAttempts() && t.ctx.Err() == nil &&
 		t.a.Clock.Now()+minAttemptTime < t.r.Deadline
 }
 
--- a/filter/resume.go
+++ b/filter/resume.go
@@ -121,7 +121,7 @@
 		return false
 	}
 	t.moveAt = now + movePeriod
-	if t.rec.Attempts() >= maxAttempts+maxResumes || now+moveWait+minAttemptTime >= t.r.Deadline {
+	if t.rec.Attempts() >= t.r.maxAttempts()+maxResumes || now+moveWait+minAttemptTime >= t.r.Deadline {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, moveWait)
--- /dev/null
+++ b/filter/route.go
@@ -0,0 +1,57 @@
+package filter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cumincove/cumincove/code"
+	"github.com/cumincove/cumincove/config"
+)
+
+// firstByteObjectives is how many times the route's latency objective an endpoint
+// may be silent before an idempotent request is tried elsewhere.
+const firstByteObjectives = 4
+
+// Route finds the route of a request by its host and path, and one of the
+// route's services by weight.
+type Route struct {
+	// Inner requests are the system's own: they need no key.
+	Inner bool
+}
+
+// ServeHTTP sets r.Route, r.Service and r.Path and bounds the request by the
+// route's timeout. It returns code.NotFresh while no configuration is known,
+// code.NoSuchRoute or code.NoEndpoint.
+func (f Route) ServeHTTP(w http.ResponseWriter, r *Request, next Handler) error {
+	if r.View.Config.Version == 0 {
+		return code.New(code.NotFresh, "no configuration is known yet")
+	}
+	route, ok := r.View.Config.RouteFor(r.Host, r.URL.Path)
+	if !ok {
+		return code.New(code.NoSuchRoute, "%s", r.URL.Path)
+	}
+	name := route.Pick(rand.Float64())
+	s, ok := r.View.Config.Services[name]
+	if !ok {
+		return code.New(code.NoEndpoint, "route %q has no service", route.Name)
+	}
+	s.Open = route.Open || f.Inner
+	s.Idempotent = route.Kind == config.RouteIdempotent
+	if s.Idempotent {
+		s.FirstByteTimeout = config.Duration(firstByteObjectives) * route.Objective
+	}
+	r.Route = route
+	r.Service = s
+	r.Path = r.URL.Path
+	timeout := time.Duration(route.Timeout)
+	if timeout <= 0 || r.Arrived+timeout >= r.Deadline {
+		return next.ServeHTTP(w, r)
+	}
+	r.Deadline = r.Arrived + timeout
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	r.Request = r.WithContext(ctx)
+	return next.ServeHTTP(w, r)
+}
--- a/filter/work.go
+++ b/filter/work.go
@@ -53,8 +53,8 @@
 // rawPath returns the path as the caller escaped it, if that is not the usual
 // way to escape it.
 func rawPath(r *Request) string {
-	if r.URL.RawPath == "" {
-		return ""
+	if r.URL.RawPath == "" || r.Route.Name != "" {
+		return r.URL.RawPath
 	}
 	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.RawPath, ServicePrefix), "/")
 	return "/" + path
--- a/platform/errors.go
+++ b/infra/errors.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"errors"
@@ -8,19 +8,19 @@
 
 var (
 	// ErrNotFound says that the row or object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("infra: not found")
 	// ErrConflict says that a check of the transaction failed; nothing was
 	// written.
-	ErrConflict = errors.New("platform: conflict")
+	ErrConflict = errors.New("infra: conflict")
 	// ErrUnavailable says that the platform refused or could not be reached;
 	// nothing was written.
-	ErrUnavailable = errors.New("platform: unavailable")
+	ErrUnavailable = errors.New("infra: unavailable")
 	// ErrUnknownOutcome says that the request may or may not have been
 	// executed. Only a later read can tell.
-	ErrUnknownOutcome = errors.New("platform: unknown outcome")
+	ErrUnknownOutcome = errors.New("infra: unknown outcome")
 	// ErrStaleEpoch says that a receiver which checks fencing numbers has
 	// already seen a higher one; the order was not executed.
-	ErrStaleEpoch = errors.New("platform: stale epoch")
+	ErrStaleEpoch = errors.New("infra: stale epoch")
 )
 
 // Definite reports whether the effect of a call that returned err is certain:
@@ -29,7 +29,7 @@
 	if err == nil {
 		return true
 	}
-	for _, definite := range []error{ErrNotFound, ErrConflict, ErrUnavailable, ErrStaleEpoch} {
+	for _, definite := range []error{ErrNotFound, ErrConflict, ErrUnavailable, ErrStaleEpoch, ErrOrderRefused, ErrNotRun} {
 		if errors.Is(err, definite) {
 			return true
 		}
--- a/platform/guard.go
+++ b/infra/guard.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "context"
 
--- a/platform/httpapi/client.go
+++ b/infra/httpapi/client.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // New returns the platform behind the HTTP interface at baseURL. A nil client
 // means one with default settings; an empty token means none.
-func New(baseURL string, hc *http.Client, token string) platform.Platform {
+func New(baseURL string, hc *http.Client, token string) infra.Platform {
 	if hc == nil {
 		hc = &http.Client{}
 	}
@@ -42,7 +42,7 @@
 		return http.ErrUseLastResponse
 	}
 	c := &client{base: baseURL, http: &own, token: token}
-	return platform.Platform{
+	return infra.Platform{
 		Table:     table{c},
 		Objects:   objects{c},
 		Instances: instances{c},
@@ -75,12 +75,12 @@
 	})
 	req, err := c.request(ctx, k, body)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	resp, err := c.http.Do(req)
 	if refused := body.refused.Load(); refused != nil {
 		closeBody(resp)
-		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, *refused)
+		return nil, fmt.Errorf("%w: %w", infra.ErrUnavailable, *refused)
 	}
 	if err != nil {
 		return nil, noAnswer(k, gotConn.Load(), err)
@@ -112,9 +112,9 @@
 // noAnswer maps a failed exchange to what is certain about it.
 func noAnswer(k call, sent bool, err error) error {
 	if k.isWrite() && sent {
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnknownOutcome, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 }
 
 func readAnswer(k call, resp *http.Response) ([]byte, error) {
@@ -146,7 +146,7 @@
 		}
 	}
 	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
-		return fmt.Errorf("%w: refused with status %d", platform.ErrUnavailable, resp.StatusCode)
+		return fmt.Errorf("%w: refused with status %d", infra.ErrUnavailable, resp.StatusCode)
 	}
 	return noAnswer(k, true, fmt.Errorf("status %d", resp.StatusCode))
 }
@@ -180,7 +180,7 @@
 
 // check calls the context's guard and keeps what it says.
 func (b *guardedBody) check() error {
-	err := platform.Guard(b.ctx)
+	err := infra.Guard(b.ctx)
 	if err != nil {
 		b.refused.Store(&err)
 	}
@@ -193,7 +193,7 @@
 		return err
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -201,7 +201,7 @@
 func (c *client) post(ctx context.Context, path string, msg any) error {
 	data, err := json.Marshal(msg)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	_, err = c.do(ctx, call{method: http.MethodPost, path: path, body: data})
 	return err
@@ -209,20 +209,20 @@
 
 type table struct{ *client }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+func (t table) Get(ctx context.Context, key string) (infra.Row, error) {
+	var row infra.Row
 	err := t.get(ctx, "/v1/table/row", url.Values{"key": {key}}, &row)
 	return row, err
 }
 
-func (t table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t table) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	q := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
 	var rows Rows
 	err := t.get(ctx, "/v1/table/rows", q, &rows)
 	return rows.Rows, err
 }
 
-func (t table) Commit(ctx context.Context, ops ...platform.Op) error {
+func (t table) Commit(ctx context.Context, ops ...infra.Op) error {
 	return t.post(ctx, "/v1/table/commit", CommitRequest{Ops: ops})
 }
 
@@ -246,7 +246,7 @@
 
 type instances struct{ *client }
 
-func (i instances) List(ctx context.Context) ([]platform.Instance, error) {
+func (i instances) List(ctx context.Context) ([]infra.Instance, error) {
 	var list InstanceList
 	err := i.get(ctx, "/v1/instances", nil, &list)
 	return list.Instances, err
@@ -254,11 +254,11 @@
 
 type endpoints struct{ *client }
 
-func (e endpoints) Order(ctx context.Context, o platform.EndpointOrder) error {
+func (e endpoints) Order(ctx context.Context, o infra.EndpointOrder) error {
 	return e.post(ctx, "/v1/endpoints/orders", o)
 }
 
-func (e endpoints) Observe(ctx context.Context, dataCentre string) ([]platform.RunningEndpoint, error) {
+func (e endpoints) Observe(ctx context.Context, dataCentre string) ([]infra.RunningEndpoint, error) {
 	var list EndpointList
 	err := e.get(ctx, "/v1/endpoints", url.Values{"data_centre": {dataCentre}}, &list)
 	return list.Endpoints, err
@@ -266,6 +266,6 @@
 
 type usage struct{ *client }
 
-func (u usage) Report(ctx context.Context, r platform.UsageReport) error {
+func (u usage) Report(ctx context.Context, r infra.UsageReport) error {
 	return u.post(ctx, "/v1/usage", r)
 }
--- a/platform/httpapi/doc.go
+++ b/infra/httpapi/doc.go
@@ -7,9 +7,9 @@
 //	PUT    /v1/objects?name=N                       the object's bytes
 //	DELETE /v1/objects?name=N
 //	GET    /v1/instances                            InstanceList
-//	POST   /v1/endpoints/orders                     platform.EndpointOrder
+//	POST   /v1/endpoints/orders                     infra.EndpointOrder
 //	GET    /v1/endpoints?data_centre=D              EndpointList
-//	POST   /v1/usage                                platform.UsageReport
+//	POST   /v1/usage                                infra.UsageReport
 //
 // Bodies are JSON but for objects. The token, if there is one, goes along as a
 // bearer token. A failure is answered with an ErrorBody whose Error is
@@ -17,7 +17,7 @@
 // (503); with each of them nothing was written.
 //
 // What the client can't tell it doesn't claim. Before a connection was got
-// nothing was sent, so the error is platform.ErrUnavailable. After that a
-// write without a readable answer is platform.ErrUnknownOutcome, while a read
-// without one is platform.ErrUnavailable.
+// nothing was sent, so the error is infra.ErrUnavailable. After that a
+// write without a readable answer is infra.ErrUnknownOutcome, while a read
+// without one is infra.ErrUnavailable.
 package httpapi
--- a/platform/httpapi/messages.go
+++ b/infra/httpapi/messages.go
@@ -1,25 +1,25 @@
 package httpapi
 
-import "github.com/cumincove/cumincove/platform"
+import "github.com/cumincove/cumincove/infra"
 
 // Rows is the answer to a listing of rows.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []infra.Row `json:"rows"`
 }
 
 // CommitRequest is one transaction.
 type CommitRequest struct {
-	Ops []platform.Op `json:"ops"`
+	Ops []infra.Op `json:"ops"`
 }
 
 // InstanceList is the answer to a listing of instances.
 type InstanceList struct {
-	Instances []platform.Instance `json:"instances"`
+	Instances []infra.Instance `json:"instances"`
 }
 
 // EndpointList is the answer to a listing of endpoints.
 type EndpointList struct {
-	Endpoints []platform.RunningEndpoint `json:"endpoints"`
+	Endpoints []infra.RunningEndpoint `json:"endpoints"`
 }
 
 // The values of ErrorBody.Error.
@@ -37,8 +37,8 @@
 }
 
 var sentinels = map[string]error{
-	ErrorNotFound:    platform.ErrNotFound,
-	ErrorConflict:    platform.ErrConflict,
-	ErrorStaleEpoch:  platform.ErrStaleEpoch,
-	ErrorUnavailable: platform.ErrUnavailable,
+	ErrorNotFound:    infra.ErrNotFound,
+	ErrorConflict:    infra.ErrConflict,
+	ErrorStaleEpoch:  infra.ErrStaleEpoch,
+	ErrorUnavailable: infra.ErrUnavailable,
 }
--- a/platform/httpapi/transport.go
+++ b/infra/httpapi/transport.go
@@ -22,7 +22,7 @@
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
 // NewTransport returns a transport for New's client whose connections check
-// the context's guard (see platform.WithGuard) at each write. With any other
+// the context's guard (see infra.WithGuard) at each write. With any other
 // transport the guard is checked when the body is read, a moment earlier.
 func NewTransport(dial DialFunc) *http.Transport {
 	return &http.Transport{
--- a/platform/httpapi/transport_test.go
+++ b/infra/httpapi/transport_test.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/lease"
-	"github.com/cumincove/cumincove/platform"
-	"github.com/cumincove/cumincove/platform/httpapi"
 )
 
 // TestGuardAtWrite lets a lease end after any number of checks: no order is
@@ -29,11 +29,11 @@
 	defer srv.Close()
 	hc := &http.Client{Transport: httpapi.NewTransport(new(net.Dialer).DialContext)}
 	p := httpapi.New(srv.URL, hc, "")
-	order := platform.EndpointOrder{ID: "1"}
+	order := infra.EndpointOrder{ID: "1"}
 	passed := 0
 	for {
 		left := passed
-		ctx := platform.WithGuard(context.Background(), func() error {
+		ctx := infra.WithGuard(context.Background(), func() error {
 			if left--; left < 0 {
 				return lease.ErrNotHeld
 			}
@@ -43,7 +43,7 @@
 		if err == nil {
 			break
 		}
-		if !errors.Is(err, lease.ErrNotHeld) || !errors.Is(err, platform.ErrUnavailable) {
+		if !errors.Is(err, lease.ErrNotHeld) || !errors.Is(err, infra.ErrUnavailable) {
 			t.Fatalf("lease over after %d checks: %v", passed, err)
 		}
 		if executed.Load() != 0 {
@@ -69,14 +69,14 @@
 	nobody := httptest.NewServer(nil)
 	nobody.Close()
 	for url, want := range map[string]error{
-		bare.URL:   platform.ErrUnknownOutcome,
-		nobody.URL: platform.ErrUnavailable,
+		bare.URL:   infra.ErrUnknownOutcome,
+		nobody.URL: infra.ErrUnavailable,
 	} {
 		p := httpapi.New(url, nil, "")
-		if err := p.Table.Commit(context.Background(), platform.Put("a", nil)); !errors.Is(err, want) {
+		if err := p.Table.Commit(context.Background(), infra.Put("a", nil)); !errors.Is(err, want) {
 			t.Errorf("write: %v, want %v", err, want)
 		}
-		if _, err := p.Table.Get(context.Background(), "a"); !errors.Is(err, platform.ErrUnavailable) {
+		if _, err := p.Table.Get(context.Background(), "a"); !errors.Is(err, infra.ErrUnavailable) {
 			t.Errorf("read: %v", err)
 		}
 	}
--- a/platform/json.go
+++ b/infra/json.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -28,7 +28,7 @@
 func PutJSON(key string, version uint64, v any) Op {
 	value, err := json.Marshal(v)
 	if err != nil {
-		panic("platform: encode " + key + ": " + err.Error())
+		panic("infra: encode " + key + ": " + err.Error())
 	}
 	return PutIf(key, version, value)
 }
--- /dev/null
+++ b/infra/table.go
@@ -0,0 +1,69 @@
+package infra
+
+import "context"
+
+// Row is one row of the transactional table.
+type Row struct {
+	Key string `json:"key"`
+	// Version rises by one with each write of the row, starting at one. Zero
+	// stands for a row that does not exist.
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+// OpKind says what an Op does.
+type OpKind string
+
+// The kinds of Op.
+const (
+	// OpCheck only compares the row's version.
+	OpCheck OpKind = "check"
+	// OpPut writes the row.
+	OpPut OpKind = "put"
+	// OpDelete removes the row.
+	OpDelete OpKind = "delete"
+)
+
+// Op is one step of a transaction.
+type Op struct {
+	Kind OpKind `json:"kind"`
+	Key  string `json:"key"`
+	// IfVersion, when set, must equal the row's version (zero: the row must
+	// not exist), or the whole transaction fails with ErrConflict.
+	IfVersion *uint64 `json:"if_version,omitempty"`
+	Value     []byte  `json:"value,omitempty"`
+}
+
+// Table is the platform's transactional table. Transactions are serializable
+// and all or nothing.
+type Table interface {
+	// Get returns one row, or ErrNotFound.
+	Get(ctx context.Context, key string) (Row, error)
+	// List returns up to limit rows in key order whose key starts with
+	// prefix and is greater than after.
+	List(ctx context.Context, prefix, after string, limit int) ([]Row, error)
+	// Commit executes all ops, or none. It returns ErrConflict,
+	// ErrUnavailable or ErrUnknownOutcome.
+	Commit(ctx context.Context, ops ...Op) error
+}
+
+// Check returns an Op that demands the row's version.
+func Check(key string, version uint64) Op {
+	return Op{Kind: OpCheck, Key: key, IfVersion: &version}
+}
+
+// Put returns an Op that writes the row whatever its version.
+func Put(key string, value []byte) Op {
+	return Op{Kind: OpPut, Key: key, Value: value}
+}
+
+// PutIf returns an Op that writes the row if it has the version (zero: if it
+// does not exist).
+func PutIf(key string, version uint64, value []byte) Op {
+	return Op{Kind: OpPut, Key: key, IfVersion: &version, Value: value}
+}
+
+// Delete returns an Op that removes the row.
+func Delete(key string) Op {
+	return Op{Kind: OpDelete, Key: key}
+}
--- a/internal/bench/control/system.go
+++ b/internal/bench/control/system.go
@@ -13,10 +13,10 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/label"
-	"github.com/cumincove/cumincove/platform"
 )
 
 const (
@@ -88,8 +88,8 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	s.platform.SetInstance(platform.Instance{
-		Name: in.name, DataCentre: dataCentre(i), PeerAddr: in.peers, CallerAddr: in.callers, State: platform.InstanceLive,
+	s.platform.SetInstance(infra.Instance{
+		Name: in.name, DataCentre: dataCentre(i), PeerAddr: in.peers, CallerAddr: in.callers, State: infra.InstanceLive,
 	})
 	in.cmd = exec.Command(daemon, "-c", file)
 	s.instances = append(s.instances, in)
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -7,7 +7,7 @@
 	"github.com/cumincove/cumincove/controller/configuration"
 	"github.com/cumincove/cumincove/controller/keys"
 	"github.com/cumincove/cumincove/controller/membership"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // newAgreement builds the controllers that keep instances in step:
@@ -17,7 +17,7 @@
 	s := d.d.Settings
 	t := s.Timing
 	d.membership = membership.New(membership.Options{
-		Self: platform.Instance{
+		Self: infra.Instance{
 			Name: s.Name, DataCentre: s.DataCentre, CallerAddr: s.Listen.Callers,
 			PeerAddr: cmp.Or(s.Listen.AdvertisePeers, s.Listen.Peers),
 		},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,9 +25,9 @@
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/fairqueue"
 	"github.com/cumincove/cumincove/filter"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 	"github.com/cumincove/cumincove/limit"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/settings"
 	"github.com/cumincove/cumincove/view"
 	"github.com/uber-go/tally/v4"
@@ -60,7 +60,7 @@
 // the clock; production code uses OS.
 type Deps struct {
 	Settings settings.Settings
-	Platform platform.Platform
+	Platform infra.Platform
 	Clock    clock.Clock
 	Log      *slog.Logger
 	Scope    tally.Scope
--- /dev/null
+++ b/internal/daemon/managed_listen.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/cumincove/cumincove/attempt"
+)
+
+// Network opens listeners and connections.
+type Network struct {
+	Listen func(network, addr string) (net.Listener, error)
+	Dial   attempt.DialFunc
+}
+
+func (m *Managed) system() System {
+	return System{
+		Requests:  m.requests,
+		Keyed:     m.keyed,
+		Steps:     m.steps,
+		Ready:     m.ready,
+		Addresses: m.addresses,
+		Keep:      time.Duration(m.d.Settings.Timing.EntriesKeep),
+	}
+}
+
+func (m *Managed) listen() ([]*server, error) {
+	l, limits := m.d.Settings.Listen, m.d.Settings.Limits
+	sys := m.system()
+	plan := []struct {
+		name, addr string
+		maxConns   int // zero means no bound
+		refuses    bool
+		h          http.Handler
+	}{
+		{"callers", l.Callers, limits.Connections, true, bounded(m.d.Adapter.Callers(sys), limits.HeaderBytes)},
+		{"readiness", l.Readiness, 0, false, m.d.Adapter.Readiness(sys)},
+		{"entries", l.Entries, 0, false, m.d.Adapter.Entries(sys)},
+		{"operators", l.Operators, 0, false, m.monitoring()},
+	}
+	var servers []*server
+	for _, p := range plan {
+		ln, err := m.d.Network.Listen("tcp", p.addr)
+		if err != nil {
+			closeAll(servers)
+			return nil, fmt.Errorf("listen for %s: %w", p.name, err)
+		}
+		ln = withBacklog(ln)
+		if p.maxConns > 0 {
+			ln = &boundedListener{Listener: ln, max: int64(p.maxConns)}
+		}
+		hs := &http.Server{
+			Handler:           p.h,
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       callerIdleTimeout,
+			MaxHeaderBytes:    limits.HeaderBytes * headerSlack,
+			ConnContext:       connContext,
+			ErrorLog:          slog.NewLogLogger(m.d.Log.Handler(), slog.LevelDebug),
+		}
+		s := newServer(p.name, ln, hs)
+		s.refuses = p.refuses
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+// monitoring serves metrics and profiles.
+func (m *Managed) monitoring() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.d.Metrics)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
+}
--- /dev/null
+++ b/internal/daemon/managed_requests.go
@@ -0,0 +1,170 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/entries"
+	"github.com/cumincove/cumincove/filter"
+	"github.com/cumincove/cumincove/view"
+)
+
+// scoreTime bounds one call of a scoring service.
+const scoreTime = 5 * time.Second
+
+// requests serves requests by route.
+func (m *Managed) requests(submit filter.HandlerFunc) http.Handler {
+	attempt := m.attempt(m.usage.Windows().Began)
+	last := filter.HandlerFunc(func(w http.ResponseWriter, r *filter.Request) error {
+		if r.Route.Kind == config.RouteRollout {
+			return submit(w, r)
+		}
+		return attempt.ServeHTTP(w, r)
+	})
+	return m.entry(filter.Chain(last,
+		m.admission(),
+		filter.Route{},
+		m.fresh(),
+		filter.Identify{},
+		m.body(),
+		filter.Secret{},
+	))
+}
+
+// keyed serves a call of the system's own that needs a key.
+func (m *Managed) keyed(h filter.HandlerFunc) http.Handler {
+	return m.entry(filter.Chain(h, m.admission(), m.fresh(), filter.Identify{}, m.body()))
+}
+
+func (m *Managed) entry(chain filter.Handler) http.Handler {
+	return &filter.Entry{
+		Views:       m.views,
+		Clock:       m.d.Clock,
+		Log:         m.d.Log,
+		Scope:       m.d.Scope,
+		RequestTime: time.Duration(m.d.Settings.Limits.RequestTime),
+		Elsewhere:   func() []string { return nil },
+		Chain:       chain,
+		Arrive:      m.d.Adapter.Arrive,
+		Refuse:      m.d.Adapter.Refuse,
+	}
+}
+
+// attempt is the last handler of requests. Began, if not nil, is told of each
+// request of a team that began to run.
+func (m *Managed) attempt(began func(team string, at time.Time)) *filter.Attempt {
+	a := &filter.Attempt{
+		Views:       m.views,
+		Dispatcher:  m.dispatcher,
+		Pool:        m.d.Pool,
+		Revocations: m.revocations,
+		Suspects:    m.suspects,
+		Freshness:   m.intent,
+		Clock:       m.d.Clock,
+		Scope:       m.d.Scope,
+		FirstByte:   time.Duration(m.d.Settings.Timing.FirstByte),
+		Idle:        time.Duration(m.d.Settings.Timing.Idle),
+		MaxAnswer:   m.d.Settings.Limits.AnswerBytes,
+		KeepID:      true,
+		Prepare: func(r *filter.Request, e *view.Endpoint, h http.Header) {
+			m.d.Adapter.Prepare(r, e, r.Deadline-m.d.Clock.Now(), h)
+		},
+	}
+	if began == nil {
+		return a
+	}
+	a.Ran = func(r *filter.Request, at time.Time) {
+		if r.Team != "" {
+			began(r.Team, at)
+		}
+	}
+	return a
+}
+
+func (m *Managed) admission() filter.Filter {
+	return filter.Admission{
+		InFlight:    &m.inFlight,
+		MaxInFlight: int64(m.d.Settings.Limits.InFlight),
+		Leaving:     m.leaving.Load,
+		Draining:    m.draining.Load,
+	}
+}
+
+func (m *Managed) fresh() filter.Filter {
+	return filter.Fresh{Freshness: m.intent, Clock: m.d.Clock}
+}
+
+func (m *Managed) body() filter.Filter {
+	return filter.Body{MaxBytes: m.d.Settings.Limits.BodyBytes, Timeout: bodyTimeout}
+}
+
+// scoreAnswer keeps the status and header of a scoring service's answer; its
+// body tells nothing.
+type scoreAnswer struct {
+	header http.Header
+	status int
+}
+
+func (a *scoreAnswer) Header() http.Header         { return a.header }
+func (a *scoreAnswer) WriteHeader(status int)      { a.status = status }
+func (a *scoreAnswer) Write(p []byte) (int, error) { return len(p), nil }
+
+// score makes one call of a scoring service.
+func score(ctx context.Context, m *Managed, chain filter.Handler, stamp string, s durable.Scorer) (string, durable.ScoreEnd) {
+	ctx, cancel := context.WithTimeout(ctx, scoreTime)
+	defer cancel()
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Host+s.Path, nil)
+	if err != nil {
+		m.d.Log.Warn("scoring call is malformed", "call", s.ID, "error", err)
+		return "", durable.ScoreFailed
+	}
+	now := m.d.Clock.Now()
+	r := &filter.Request{
+		Request: hr, ID: s.ID, View: m.views.Load(), Body: bytes.Clone(s.Body),
+		Arrived: now, Deadline: now + scoreTime, Log: m.d.Log,
+	}
+	w := &scoreAnswer{header: http.Header{}}
+	err = chain.ServeHTTP(w, r)
+	switch {
+	case err != nil:
+		m.d.Log.Info("scoring call failed", "call", s.ID, "error", err)
+		return "", durable.ScoreLost
+	case w.status >= 200 && w.status < 300:
+		return w.header.Get(stamp), durable.ScoreDone
+	case w.status == http.StatusInternalServerError:
+		return "", durable.ScoreFailed
+	}
+	return "", durable.ScoreLost
+}
+
+// ready reports whether this instance takes callers.
+func (m *Managed) ready() bool {
+	return !m.leaving.Load() && m.views.Load().Config.Version > 0 && m.presence.Synced() && m.intent.Fresh(m.d.Clock.Now())
+}
+
+// addresses lists the callers' addresses of instances, best first.
+func (m *Managed) addresses(dataCentre string, most int) []string {
+	var list []entries.Instance
+	for _, member := range sortedMembers(m.views.Load()) {
+		own := member.Name == m.d.Settings.Name
+		list = append(list, entries.Instance{
+			Name: member.Name, DataCentre: member.DataCentre, Addr: member.CallerAddr,
+			InFlight: member.InFlight, Leaving: member.Leaving || own && m.leaving.Load(),
+		})
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(m.d.Settings.Name)) // never fails
+	start := float64(h.Sum32()) / (1 << 32)
+	var addrs []string
+	for _, in := range entries.Rank(list, dataCentre, entries.Point(start, m.entryCount.Add(1))) {
+		if len(addrs) < most {
+			addrs = append(addrs, in.Addr)
+		}
+	}
+	return addrs
+}
--- a/internal/daemon/reclaim_test.go
+++ b/internal/daemon/reclaim_test.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/daemontest"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/internal/systemtest"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -32,7 +32,7 @@
 	all map[string][]*fakeendpoint.Endpoint // by data centre
 }
 
-func (f *fleet) launch(e platform.RunningEndpoint) (string, func(), error) {
+func (f *fleet) launch(e infra.RunningEndpoint) (string, func(), error) {
 	s := fakeendpoint.NewService(20 * time.Millisecond)
 	srv, err := fakeendpoint.Serve("127.0.0.1:0", s.Endpoint, s.Handler())
 	if err != nil {
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -8,8 +8,8 @@
 	"github.com/cumincove/cumincove/controller/rollout"
 	"github.com/cumincove/cumincove/controller/weights"
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1/rolloutv1connect"
-	"github.com/cumincove/cumincove/platform/httpapi"
 )
 
 const (
--- a/internal/daemontest/system.go
+++ b/internal/daemontest/system.go
@@ -16,12 +16,12 @@
 
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/daemon"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
-	"github.com/cumincove/cumincove/platform/httpapi"
 	"github.com/cumincove/cumincove/settings"
 	"github.com/uber-go/tally/v4"
 )
@@ -119,8 +119,8 @@
 	if s.opt.Settings != nil {
 		s.opt.Settings(&set)
 	}
-	s.Platform.SetInstance(platform.Instance{
-		Name: name, DataCentre: dataCentre, State: platform.InstanceLive,
+	s.Platform.SetInstance(infra.Instance{
+		Name: name, DataCentre: dataCentre, State: infra.InstanceLive,
 		PeerAddr: set.Listen.Peers, CallerAddr: set.Listen.Callers,
 	})
 	in := s.run(set, listeners)
--- a/internal/fake/cmd/standins/main.go
+++ b/internal/fake/cmd/standins/main.go
@@ -13,10 +13,10 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
 )
 
 type standins struct {
@@ -79,7 +79,7 @@
 }
 
 // launch starts an endpoint that was ordered; all of them are engines.
-func (s standins) launch(platform.RunningEndpoint) (string, func(), error) {
+func (s standins) launch(infra.RunningEndpoint) (string, func(), error) {
 	srv, err := s.startEngine("127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -20,9 +20,9 @@
 	"time"
 
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakehttp"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/prefix"
 )
 
@@ -153,7 +153,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.opt.ChecksEpoch && o.Epoch < e.epoch {
-		return nil, platform.ErrConflict // status 409, as engines answer
+		return nil, infra.ErrConflict // status 409, as engines answer
 	}
 	e.epoch = max(e.epoch, o.Epoch)
 	switch o.Kind {
@@ -201,7 +201,7 @@
 	defer e.mu.Unlock()
 	j, ok := e.jobs[m.RequestID]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return engine.KV{
 		Handle:        "kv-" + m.RequestID,
@@ -268,7 +268,7 @@
 	if req.KVHandle != "" {
 		kv, ok := e.imported[req.KVHandle]
 		if !ok {
-			return nil, platform.ErrNotFound
+			return nil, infra.ErrNotFound
 		}
 		produced = max(produced, len(kv.Tokens))
 	}
@@ -319,7 +319,7 @@
 	defer e.mu.Unlock()
 	j, ok := e.jobs[m.RequestID]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	j.cancel()
 	return nil, nil
--- a/internal/fake/fakeengine/engine_test.go
+++ b/internal/fake/fakeengine/engine_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // patience bounds every wait.
@@ -93,7 +93,7 @@
 		t.Fatalf("first version %d, last chunk %+v, error %v", seen[0], last, err)
 	}
 	order.Epoch = 4
-	if err := c.Order(t.Context(), c.addr, order); !errors.Is(err, platform.ErrStaleEpoch) {
+	if err := c.Order(t.Context(), c.addr, order); !errors.Is(err, infra.ErrStaleEpoch) {
 		t.Fatal(err)
 	}
 	if e.Version() != 2 {
--- a/internal/fake/fakehttp/fakehttp.go
+++ b/internal/fake/fakehttp/fakehttp.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
-	"github.com/cumincove/cumincove/platform/httpapi"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/infra/httpapi"
 )
 
 // failures says how the platform's errors are answered, by engines too. Any
@@ -20,10 +20,10 @@
 	status int
 	name   string
 }{
-	{platform.ErrNotFound, http.StatusNotFound, httpapi.ErrorNotFound},
-	{platform.ErrConflict, http.StatusConflict, httpapi.ErrorConflict},
-	{platform.ErrStaleEpoch, http.StatusPreconditionFailed, httpapi.ErrorStaleEpoch},
-	{platform.ErrUnavailable, http.StatusServiceUnavailable, httpapi.ErrorUnavailable},
+	{infra.ErrNotFound, http.StatusNotFound, httpapi.ErrorNotFound},
+	{infra.ErrConflict, http.StatusConflict, httpapi.ErrorConflict},
+	{infra.ErrStaleEpoch, http.StatusPreconditionFailed, httpapi.ErrorStaleEpoch},
+	{infra.ErrUnavailable, http.StatusServiceUnavailable, httpapi.ErrorUnavailable},
 }
 
 // Handle returns a handler that answers with what f returns.
@@ -59,12 +59,12 @@
 }
 
 // Answer writes msg, or err if it isn't nil; an empty object stands for no
-// message. After platform.ErrUnknownOutcome the connection ends without an
+// message. After infra.ErrUnknownOutcome the connection ends without an
 // answer.
 func Answer(w http.ResponseWriter, msg any, err error) {
 	w.Header().Set("Content-Type", "application/json")
 	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, infra.ErrUnknownOutcome):
 		panic(http.ErrAbortHandler)
 	case err != nil:
 		msg = fail(w, err)
--- a/internal/fake/fakeplatform/endpoints.go
+++ b/internal/fake/fakeplatform/endpoints.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // pool names the endpoints that one order counts.
@@ -14,7 +14,7 @@
 }
 
 type endpoint struct {
-	platform.RunningEndpoint
+	infra.RunningEndpoint
 	startAt time.Time
 	// endAt is set while the endpoint is being reclaimed.
 	endAt time.Time
@@ -30,11 +30,11 @@
 }
 
 // order executes an order and records it; it needs mu.
-func (p *Platform) order(o platform.EndpointOrder) error {
+func (p *Platform) order(o infra.EndpointOrder) error {
 	stale := p.opt.CheckEpochs && o.Epoch < p.endpoints.epochs[o.DataCentre]
 	p.record.Orders = append(p.record.Orders, OrderRecord{EndpointOrder: o, Refused: stale})
 	if stale {
-		return platform.ErrStaleEpoch
+		return infra.ErrStaleEpoch
 	}
 	p.endpoints.epochs[o.DataCentre] = max(o.Epoch, p.endpoints.epochs[o.DataCentre])
 	where := pool{o.DataCentre, o.Service, o.Tier}
@@ -72,7 +72,7 @@
 func (p *Platform) start(where pool) error {
 	p.endpoints.made++
 	e := &endpoint{startAt: time.Now().Add(p.opt.StartDelay), stop: func() {}}
-	e.RunningEndpoint = platform.RunningEndpoint{
+	e.RunningEndpoint = infra.RunningEndpoint{
 		Name:       fmt.Sprintf("%s-%s-%s-%d", where.service, where.dataCentre, where.tier, p.endpoints.made),
 		DataCentre: where.dataCentre,
 		Service:    where.service,
@@ -82,7 +82,7 @@
 	if p.opt.Launch != nil {
 		addr, stop, err := p.opt.Launch(e.RunningEndpoint)
 		if err != nil {
-			return fmt.Errorf("%w: launch: %w", platform.ErrUnavailable, err)
+			return fmt.Errorf("%w: launch: %w", infra.ErrUnavailable, err)
 		}
 		e.Addr, e.stop = addr, stop
 	}
@@ -128,9 +128,9 @@
 }
 
 // observe needs mu.
-func (p *Platform) observe(dataCentre string) []platform.RunningEndpoint {
+func (p *Platform) observe(dataCentre string) []infra.RunningEndpoint {
 	now := time.Now()
-	var list []platform.RunningEndpoint
+	var list []infra.RunningEndpoint
 	for _, e := range p.endpoints.all {
 		if e.DataCentre != dataCentre {
 			continue
@@ -138,12 +138,12 @@
 		seen := e.RunningEndpoint
 		switch {
 		case !e.endAt.IsZero():
-			seen.State = platform.EndpointReclaiming
+			seen.State = infra.EndpointReclaiming
 			seen.ReclaimIn = max(e.endAt.Sub(now), 0)
 		case now.Before(e.startAt):
-			seen.State = platform.EndpointStarting
+			seen.State = infra.EndpointStarting
 		default:
-			seen.State = platform.EndpointRunning
+			seen.State = infra.EndpointRunning
 		}
 		list = append(list, seen)
 	}
--- a/internal/fake/fakeplatform/platform.go
+++ b/internal/fake/fakeplatform/platform.go
@@ -8,9 +8,9 @@
 //
 //	PUT  /control/faults     Faults
 //	GET  /control/record     Record
-//	GET  /control/row?key=K  platform.Row, whatever the faults
-//	POST /control/instances  platform.Instance
-//	POST /control/reclaim    platform.RunningEndpoint: those like it go in ReclaimIn
+//	GET  /control/row?key=K  infra.Row, whatever the faults
+//	POST /control/instances  infra.Instance
+//	POST /control/reclaim    infra.RunningEndpoint: those like it go in ReclaimIn
 //
 // Both ways share the data, the faults and the counts. It works on the time of
 // package time, so a testing/synctest bubble drives it.
@@ -29,15 +29,15 @@
 	"sync"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/fake/fakehttp"
-	"github.com/cumincove/cumincove/platform"
-	"github.com/cumincove/cumincove/platform/httpapi"
 )
 
 // Options says how the stand-in behaves.
 type Options struct {
 	// Instances is the list of instances to begin with.
-	Instances []platform.Instance
+	Instances []infra.Instance
 	// StartDelay is the time from an order to a running endpoint.
 	StartDelay time.Duration
 	// StopNotice is the time between an order for fewer endpoints and their
@@ -47,7 +47,7 @@
 	CheckEpochs bool
 	// Launch starts an ordered endpoint and returns its address and how to
 	// stop it. Nil gives it an address at which nothing listens.
-	Launch func(e platform.RunningEndpoint) (addr string, stop func(), err error)
+	Launch func(e infra.RunningEndpoint) (addr string, stop func(), err error)
 }
 
 // Faults is what goes wrong now. The zero value is no fault.
@@ -71,21 +71,21 @@
 
 // OrderRecord is one order as it arrived.
 type OrderRecord struct {
-	platform.EndpointOrder
+	infra.EndpointOrder
 	Refused bool `json:"refused"`
 }
 
 // Record is what the stand-in saw, for oracles.
 type Record struct {
-	Orders  []OrderRecord          `json:"orders"`
-	Reports []platform.UsageReport `json:"reports"`
-	Reads   uint64                 `json:"reads"`
-	Writes  uint64                 `json:"writes"`
+	Orders  []OrderRecord       `json:"orders"`
+	Reports []infra.UsageReport `json:"reports"`
+	Reads   uint64              `json:"reads"`
+	Writes  uint64              `json:"writes"`
 }
 
 type listing struct {
 	since     time.Time
-	instances []platform.Instance
+	instances []infra.Instance
 }
 
 // Platform is the stand-in.
@@ -95,7 +95,7 @@
 	mu        sync.Mutex
 	faults    Faults
 	record    Record
-	rows      map[string]platform.Row
+	rows      map[string]infra.Row
 	objects   map[string][]byte
 	listings  []listing // oldest first; never empty
 	endpoints endpointSet
@@ -105,7 +105,7 @@
 func New(opt Options) *Platform {
 	return &Platform{
 		opt:       opt,
-		rows:      map[string]platform.Row{},
+		rows:      map[string]infra.Row{},
 		objects:   map[string][]byte{},
 		listings:  []listing{{since: time.Now(), instances: slices.Clone(opt.Instances)}},
 		endpoints: endpointSet{epochs: map[string]uint64{}, want: map[pool]int{}, gone: map[pool]bool{}},
@@ -127,24 +127,24 @@
 }
 
 // SetInstance adds or replaces an instance of the list.
-func (p *Platform) SetInstance(in platform.Instance) { p.changeList(in.Name, in) }
+func (p *Platform) SetInstance(in infra.Instance) { p.changeList(in.Name, in) }
 
 // RemoveInstance takes an instance off the list.
 func (p *Platform) RemoveInstance(name string) { p.changeList(name) }
 
 // changeList replaces the instance of that name.
-func (p *Platform) changeList(name string, others ...platform.Instance) {
+func (p *Platform) changeList(name string, others ...infra.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := slices.Clone(p.listings[len(p.listings)-1].instances)
-	next = slices.DeleteFunc(next, func(in platform.Instance) bool { return in.Name == name })
+	next = slices.DeleteFunc(next, func(in infra.Instance) bool { return in.Name == name })
 	next = append(next, others...)
-	slices.SortFunc(next, func(a, b platform.Instance) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(next, func(a, b infra.Instance) int { return cmp.Compare(a.Name, b.Name) })
 	p.listings = append(p.listings, listing{since: time.Now(), instances: next})
 }
 
 // list needs mu.
-func (p *Platform) list() []platform.Instance {
+func (p *Platform) list() []infra.Instance {
 	cutoff := time.Now().Add(-p.faults.ListLag)
 	seen := p.listings[0]
 	for _, l := range p.listings {
@@ -156,7 +156,7 @@
 }
 
 // Row returns a row without counting a read.
-func (p *Platform) Row(key string) (platform.Row, bool) {
+func (p *Platform) Row(key string) (infra.Row, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row, ok := p.rows[key]
@@ -165,15 +165,15 @@
 
 // Rows returns the rows whose keys start with prefix, in key order, without
 // counting a read.
-func (p *Platform) Rows(prefix string) []platform.Row {
+func (p *Platform) Rows(prefix string) []infra.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.rowsAfter(prefix, "", 0)
 }
 
 // rowsAfter returns up to limit rows, zero means all; it needs mu.
-func (p *Platform) rowsAfter(prefix, after string, limit int) []platform.Row {
-	var rows []platform.Row
+func (p *Platform) rowsAfter(prefix, after string, limit int) []infra.Row {
+	var rows []infra.Row
 	for _, key := range slices.Sorted(maps.Keys(p.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && (limit == 0 || len(rows) < limit) {
 			rows = append(rows, p.rows[key])
@@ -184,27 +184,27 @@
 
 // commit executes all ops or none; it needs mu. Checks see the rows before the
 // transaction.
-func (p *Platform) commit(ops []platform.Op) error {
+func (p *Platform) commit(ops []infra.Op) error {
 	for _, op := range ops {
 		if op.IfVersion != nil && p.rows[op.Key].Version != *op.IfVersion {
-			return platform.ErrConflict
+			return infra.ErrConflict
 		}
 	}
 	for _, op := range ops {
-		if op.Kind == platform.OpDelete {
+		if op.Kind == infra.OpDelete {
 			delete(p.rows, op.Key)
-		} else if op.Kind == platform.OpPut {
+		} else if op.Kind == infra.OpPut {
 			version := p.rows[op.Key].Version + 1
-			p.rows[op.Key] = platform.Row{Key: op.Key, Version: version, Value: slices.Clone(op.Value)}
+			p.rows[op.Key] = infra.Row{Key: op.Key, Version: version, Value: slices.Clone(op.Value)}
 		}
 	}
 	return nil
 }
 
 // Platform returns the interfaces for use within the process.
-func (p *Platform) Platform() platform.Platform {
+func (p *Platform) Platform() infra.Platform {
 	l := local{Platform: p}
-	return platform.Platform{Table: table{local{Platform: p, table: true}}, Objects: objects{l}, Instances: l, Endpoints: l, Usage: l}
+	return infra.Platform{Table: table{local{Platform: p, table: true}}, Objects: objects{l}, Instances: l, Endpoints: l, Usage: l}
 }
 
 // read runs f, which gets mu, as a read under the present faults.
@@ -215,16 +215,16 @@
 	p.mu.Unlock()
 	var none T
 	if faults.Down || faults.TableDown && p.table {
-		return none, platform.ErrUnavailable
+		return none, infra.ErrUnavailable
 	}
 	if !fakehttp.Pause(ctx, faults.Slow) {
-		return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return none, fmt.Errorf("%w: %w", infra.ErrUnavailable, ctx.Err())
 	}
 	p.mu.Lock()
 	answer, err := f()
 	p.mu.Unlock()
 	if !fakehttp.Pause(ctx, faults.SlowAnswer) {
-		return none, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+		return none, fmt.Errorf("%w: %w", infra.ErrUnavailable, ctx.Err())
 	}
 	return answer, err
 }
@@ -233,8 +233,8 @@
 // request on the wire, a write that was sent goes on when its caller stops
 // waiting.
 func (p local) write(ctx context.Context, f func() error) error {
-	if err := cmp.Or(platform.Guard(ctx), ctx.Err()); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	if err := cmp.Or(infra.Guard(ctx), ctx.Err()); err != nil {
+		return fmt.Errorf("%w: %w", infra.ErrUnavailable, err)
 	}
 	p.mu.Lock()
 	p.record.Writes++
@@ -243,10 +243,10 @@
 	loseAnswer := !loseRequest && fakehttp.Take(&p.faults.LoseAnswers)
 	p.mu.Unlock()
 	if faults.Down || faults.TableDown && p.table {
-		return platform.ErrUnavailable
+		return infra.ErrUnavailable
 	}
 	if loseRequest {
-		return platform.ErrUnknownOutcome
+		return infra.ErrUnknownOutcome
 	}
 	done := make(chan error, 1)
 	go func() {
@@ -259,10 +259,10 @@
 	}()
 	select {
 	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, ctx.Err())
+		return fmt.Errorf("%w: %w", infra.ErrUnknownOutcome, ctx.Err())
 	case err := <-done:
 		if loseAnswer {
-			return platform.ErrUnknownOutcome
+			return infra.ErrUnknownOutcome
 		}
 		return err
 	}
@@ -273,19 +273,19 @@
 	table bool // the calls are the table's
 }
 
-func (l local) List(ctx context.Context) ([]platform.Instance, error) {
-	return read(ctx, l, func() ([]platform.Instance, error) { return l.list(), nil })
+func (l local) List(ctx context.Context) ([]infra.Instance, error) {
+	return read(ctx, l, func() ([]infra.Instance, error) { return l.list(), nil })
 }
 
-func (l local) Order(ctx context.Context, o platform.EndpointOrder) error {
+func (l local) Order(ctx context.Context, o infra.EndpointOrder) error {
 	return l.write(ctx, func() error { return l.order(o) })
 }
 
-func (l local) Observe(ctx context.Context, dataCentre string) ([]platform.RunningEndpoint, error) {
-	return read(ctx, l, func() ([]platform.RunningEndpoint, error) { return l.observe(dataCentre), nil })
+func (l local) Observe(ctx context.Context, dataCentre string) ([]infra.RunningEndpoint, error) {
+	return read(ctx, l, func() ([]infra.RunningEndpoint, error) { return l.observe(dataCentre), nil })
 }
 
-func (l local) Report(ctx context.Context, r platform.UsageReport) error {
+func (l local) Report(ctx context.Context, r infra.UsageReport) error {
 	return l.write(ctx, func() error {
 		l.record.Reports = append(l.record.Reports, r)
 		return nil
@@ -294,15 +294,15 @@
 
 type table struct{ local }
 
-func (t table) Get(ctx context.Context, key string) (platform.Row, error) {
-	return read(ctx, t.local, func() (platform.Row, error) { return find(t.rows, key) })
+func (t table) Get(ctx context.Context, key string) (infra.Row, error) {
+	return read(ctx, t.local, func() (infra.Row, error) { return find(t.rows, key) })
 }
 
-func (t table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	return read(ctx, t.local, func() ([]platform.Row, error) { return t.rowsAfter(prefix, after, limit), nil })
+func (t table) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
+	return read(ctx, t.local, func() ([]infra.Row, error) { return t.rowsAfter(prefix, after, limit), nil })
 }
 
-func (t table) Commit(ctx context.Context, ops ...platform.Op) error {
+func (t table) Commit(ctx context.Context, ops ...infra.Op) error {
 	ops = slices.Clone(ops)
 	return t.write(ctx, func() error { return t.commit(ops) })
 }
@@ -330,7 +330,7 @@
 func find[T any](all map[string]T, key string) (T, error) {
 	found, ok := all[key]
 	if !ok {
-		return found, platform.ErrNotFound
+		return found, infra.ErrNotFound
 	}
 	return found, nil
 }
@@ -354,14 +354,14 @@
 		list, err := l.Instances.List(r.Context())
 		return httpapi.InstanceList{Instances: list}, err
 	}))
-	mux.HandleFunc("POST /v1/endpoints/orders", fakehttp.HandleBody(func(r *http.Request, o platform.EndpointOrder) (any, error) {
+	mux.HandleFunc("POST /v1/endpoints/orders", fakehttp.HandleBody(func(r *http.Request, o infra.EndpointOrder) (any, error) {
 		return nil, l.Endpoints.Order(r.Context(), o)
 	}))
 	mux.HandleFunc("GET /v1/endpoints", fakehttp.Handle(func(r *http.Request) (any, error) {
 		list, err := l.Endpoints.Observe(r.Context(), r.FormValue("data_centre"))
 		return httpapi.EndpointList{Endpoints: list}, err
 	}))
-	mux.HandleFunc("POST /v1/usage", fakehttp.HandleBody(func(r *http.Request, u platform.UsageReport) (any, error) {
+	mux.HandleFunc("POST /v1/usage", fakehttp.HandleBody(func(r *http.Request, u infra.UsageReport) (any, error) {
 		return nil, l.Usage.Report(r.Context(), u)
 	}))
 	handleObjects(mux, l.Objects)
@@ -370,18 +370,18 @@
 		row, _ := p.Row(r.FormValue("key"))
 		return row, nil
 	}))
-	mux.HandleFunc("POST /control/instances", fakehttp.HandleBody(func(_ *http.Request, in platform.Instance) (any, error) {
+	mux.HandleFunc("POST /control/instances", fakehttp.HandleBody(func(_ *http.Request, in infra.Instance) (any, error) {
 		p.SetInstance(in)
 		return nil, nil
 	}))
-	mux.HandleFunc("POST /control/reclaim", fakehttp.HandleBody(func(_ *http.Request, e platform.RunningEndpoint) (any, error) {
+	mux.HandleFunc("POST /control/reclaim", fakehttp.HandleBody(func(_ *http.Request, e infra.RunningEndpoint) (any, error) {
 		p.Reclaim(e.DataCentre, e.Tier, e.ReclaimIn)
 		return nil, nil
 	}))
 	return mux
 }
 
-func handleObjects(mux *http.ServeMux, store platform.Objects) {
+func handleObjects(mux *http.ServeMux, store infra.Objects) {
 	mux.HandleFunc("GET /v1/objects", func(w http.ResponseWriter, r *http.Request) {
 		data, err := store.Get(r.Context(), r.FormValue("name"))
 		if err != nil {
--- a/internal/fake/fakeplatform/platform_test.go
+++ b/internal/fake/fakeplatform/platform_test.go
@@ -9,15 +9,15 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
-	"github.com/cumincove/cumincove/platform/httpapi"
 )
 
 // both runs f on the interfaces within the process and over HTTP.
-func both(t *testing.T, f func(t *testing.T, fake *fakeplatform.Platform, p platform.Platform)) {
-	for name, over := range map[string]func(t *testing.T, fake *fakeplatform.Platform) platform.Platform{
-		"local": func(_ *testing.T, fake *fakeplatform.Platform) platform.Platform { return fake.Platform() },
+func both(t *testing.T, f func(t *testing.T, fake *fakeplatform.Platform, p infra.Platform)) {
+	for name, over := range map[string]func(t *testing.T, fake *fakeplatform.Platform) infra.Platform{
+		"local": func(_ *testing.T, fake *fakeplatform.Platform) infra.Platform { return fake.Platform() },
 		"http":  overHTTP,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -27,7 +27,7 @@
 	}
 }
 
-func overHTTP(t *testing.T, fake *fakeplatform.Platform) platform.Platform {
+func overHTTP(t *testing.T, fake *fakeplatform.Platform) infra.Platform {
 	srv := httptest.NewServer(fake.Handler())
 	t.Cleanup(srv.Close)
 	return httpapi.New(srv.URL, srv.Client(), "")
@@ -49,13 +49,13 @@
 }
 
 func TestTable(t *testing.T) {
-	both(t, func(t *testing.T, _ *fakeplatform.Platform, p platform.Platform) {
+	both(t, func(t *testing.T, _ *fakeplatform.Platform, p infra.Platform) {
 		ctx := context.Background()
 		_, err := p.Table.Get(ctx, "a")
-		wantErr(t, err, platform.ErrNotFound)
-		wantErr(t, p.Table.Commit(ctx, platform.PutIf("a", 0, []byte("1")), platform.Put("b", nil)), nil)
-		wantErr(t, p.Table.Commit(ctx, platform.Put("b", nil), platform.PutIf("a", 0, nil)), platform.ErrConflict)
-		wantErr(t, p.Table.Commit(ctx, platform.Check("a", 1), platform.Put("a", []byte("2"))), nil)
+		wantErr(t, err, infra.ErrNotFound)
+		wantErr(t, p.Table.Commit(ctx, infra.PutIf("a", 0, []byte("1")), infra.Put("b", nil)), nil)
+		wantErr(t, p.Table.Commit(ctx, infra.Put("b", nil), infra.PutIf("a", 0, nil)), infra.ErrConflict)
+		wantErr(t, p.Table.Commit(ctx, infra.Check("a", 1), infra.Put("a", []byte("2"))), nil)
 		row, err := p.Table.Get(ctx, "a")
 		wantErr(t, err, nil)
 		if row.Version != 2 || string(row.Value) != "2" {
@@ -70,18 +70,18 @@
 }
 
 func TestLostAnswers(t *testing.T) {
-	both(t, func(t *testing.T, fake *fakeplatform.Platform, p platform.Platform) {
+	both(t, func(t *testing.T, fake *fakeplatform.Platform, p infra.Platform) {
 		ctx := context.Background()
 		fake.SetFaults(fakeplatform.Faults{LoseAnswers: 1})
-		wantErr(t, p.Table.Commit(ctx, platform.Put("a", nil)), platform.ErrUnknownOutcome)
+		wantErr(t, p.Table.Commit(ctx, infra.Put("a", nil)), infra.ErrUnknownOutcome)
 		wantRow(t, fake, "a", true)
 		fake.SetFaults(fakeplatform.Faults{LoseRequests: 1})
-		wantErr(t, p.Table.Commit(ctx, platform.Put("b", nil)), platform.ErrUnknownOutcome)
+		wantErr(t, p.Table.Commit(ctx, infra.Put("b", nil)), infra.ErrUnknownOutcome)
 		wantRow(t, fake, "b", false)
 		fake.SetFaults(fakeplatform.Faults{Down: true})
-		wantErr(t, p.Table.Commit(ctx, platform.Put("b", nil)), platform.ErrUnavailable)
+		wantErr(t, p.Table.Commit(ctx, infra.Put("b", nil)), infra.ErrUnavailable)
 		_, err := p.Table.Get(ctx, "a")
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, infra.ErrUnavailable)
 		fake.SetFaults(fakeplatform.Faults{})
 		wantErr(t, p.Objects.Put(ctx, "o", []byte("data")), nil)
 		data, err := p.Objects.Get(ctx, "o")
@@ -93,18 +93,18 @@
 }
 
 func TestNotWaitedFor(t *testing.T) {
-	both(t, func(t *testing.T, fake *fakeplatform.Platform, p platform.Platform) {
+	both(t, func(t *testing.T, fake *fakeplatform.Platform, p infra.Platform) {
 		lapsed := errors.New("lapsed")
-		err := p.Table.Commit(platform.WithGuard(context.Background(), func() error { return lapsed }), platform.Put("a", nil))
+		err := p.Table.Commit(infra.WithGuard(context.Background(), func() error { return lapsed }), infra.Put("a", nil))
 		wantErr(t, err, lapsed)
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, infra.ErrUnavailable)
 		wantRow(t, fake, "a", false)
 		fake.SetFaults(fakeplatform.Faults{Slow: time.Second})
 		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 		defer cancel()
-		wantErr(t, p.Table.Commit(ctx, platform.Put("a", nil)), platform.ErrUnknownOutcome)
+		wantErr(t, p.Table.Commit(ctx, infra.Put("a", nil)), infra.ErrUnknownOutcome)
 		_, err = p.Table.Get(ctx, "a")
-		wantErr(t, err, platform.ErrUnavailable)
+		wantErr(t, err, infra.ErrUnavailable)
 	})
 }
 
@@ -114,33 +114,33 @@
 			StartDelay: 10 * time.Second, StopNotice: 5 * time.Second, CheckEpochs: true,
 		})
 		p := fake.Platform()
-		order := platform.EndpointOrder{ID: "1", DataCentre: "x", Service: "s", Tier: "cheap", Count: 2, Epoch: 2}
+		order := infra.EndpointOrder{ID: "1", DataCentre: "x", Service: "s", Tier: "cheap", Count: 2, Epoch: 2}
 		wantErr(t, p.Endpoints.Order(t.Context(), order), nil)
-		wantStates(t, p, platform.EndpointStarting, platform.EndpointStarting)
+		wantStates(t, p, infra.EndpointStarting, infra.EndpointStarting)
 		time.Sleep(10 * time.Second)
-		wantStates(t, p, platform.EndpointRunning, platform.EndpointRunning)
+		wantStates(t, p, infra.EndpointRunning, infra.EndpointRunning)
 		order.Epoch = 1
-		wantErr(t, p.Endpoints.Order(t.Context(), order), platform.ErrStaleEpoch)
+		wantErr(t, p.Endpoints.Order(t.Context(), order), infra.ErrStaleEpoch)
 		order.Epoch, order.Count = 3, 1
 		wantErr(t, p.Endpoints.Order(t.Context(), order), nil)
-		wantStates(t, p, platform.EndpointRunning, platform.EndpointReclaiming)
+		wantStates(t, p, infra.EndpointRunning, infra.EndpointReclaiming)
 		time.Sleep(6 * time.Second)
-		wantStates(t, p, platform.EndpointRunning)
+		wantStates(t, p, infra.EndpointRunning)
 		fake.Reclaim("x", "cheap", time.Second)
-		wantStates(t, p, platform.EndpointReclaiming)
+		wantStates(t, p, infra.EndpointReclaiming)
 		time.Sleep(2 * time.Second)
 		wantErr(t, p.Endpoints.Order(t.Context(), order), nil)
 		wantStates(t, p)
 		wantErr(t, fake.Offer("x", "cheap"), nil)
-		wantStates(t, p, platform.EndpointStarting)
+		wantStates(t, p, infra.EndpointStarting)
 	})
 }
 
-func wantStates(t *testing.T, p platform.Platform, want ...platform.EndpointState) {
+func wantStates(t *testing.T, p infra.Platform, want ...infra.EndpointState) {
 	t.Helper()
 	list, err := p.Endpoints.Observe(t.Context(), "x")
 	wantErr(t, err, nil)
-	var states []platform.EndpointState
+	var states []infra.EndpointState
 	for _, e := range list {
 		states = append(states, e.State)
 	}
@@ -151,10 +151,10 @@
 
 func TestListLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fake := fakeplatform.New(fakeplatform.Options{Instances: []platform.Instance{{Name: "a"}}})
+		fake := fakeplatform.New(fakeplatform.Options{Instances: []infra.Instance{{Name: "a"}}})
 		fake.SetFaults(fakeplatform.Faults{ListLag: 10 * time.Second})
 		time.Sleep(time.Minute)
-		fake.SetInstance(platform.Instance{Name: "b"})
+		fake.SetInstance(infra.Instance{Name: "b"})
 		list, err := fake.Platform().Instances.List(t.Context())
 		wantErr(t, err, nil)
 		if len(list) != 1 {
--- a/internal/proctest/duties_test.go
+++ b/internal/proctest/duties_test.go
@@ -12,10 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/lease"
 	"github.com/cumincove/cumincove/order"
-	"github.com/cumincove/cumincove/platform"
 )
 
 const (
@@ -30,7 +30,7 @@
 // row reads a row of the platform's table past its faults.
 func (s *system) row(key string, into any) {
 	s.Helper()
-	var row platform.Row
+	var row infra.Row
 	s.control(s.platform, http.MethodGet, "/control/row?key="+url.QueryEscape(key), nil, &row)
 	if len(row.Value) == 0 {
 		return
@@ -207,7 +207,7 @@
 // only rise, and that each has one holder.
 func (s *system) reported() (sum uint64, reportedWindows int) {
 	s.Helper()
-	windows, holderOf, last := map[int64][]platform.TeamUsage{}, map[uint64]string{}, uint64(0)
+	windows, holderOf, last := map[int64][]infra.TeamUsage{}, map[uint64]string{}, uint64(0)
 	for _, r := range s.record().Reports {
 		if h, ok := holderOf[r.Epoch]; ok && h != r.Holder {
 			s.Errorf("epoch %d has holders %s and %s", r.Epoch, h, r.Holder)
--- a/internal/proctest/process_test.go
+++ b/internal/proctest/process_test.go
@@ -20,10 +20,10 @@
 	"time"
 
 	"github.com/cumincove/cumincove/api"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 	"github.com/cumincove/cumincove/internal/tlsfile/tlstest"
-	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/settings"
 )
 
@@ -179,8 +179,8 @@
 	if err := os.WriteFile(in.file, []byte(text), 0o600); err != nil {
 		s.Fatal(err)
 	}
-	s.control(s.platform, http.MethodPost, "/control/instances", platform.Instance{
-		Name: name, DataCentre: dataCentre, PeerAddr: advertised, CallerAddr: in.callers, State: platform.InstanceLive,
+	s.control(s.platform, http.MethodPost, "/control/instances", infra.Instance{
+		Name: name, DataCentre: dataCentre, PeerAddr: advertised, CallerAddr: in.callers, State: infra.InstanceLive,
 	}, nil)
 	s.launch(in)
 	s.Cleanup(func() {
--- a/internal/proctest/reclaim_test.go
+++ b/internal/proctest/reclaim_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -18,11 +18,11 @@
 // endpointsIn returns the addresses of what the platform has in a data centre,
 // and how many of them run.
 func (s *system) endpointsIn(dataCentre string) (addrs []string, running int) {
-	var list struct{ Endpoints []platform.RunningEndpoint }
+	var list struct{ Endpoints []infra.RunningEndpoint }
 	s.control(s.platform, http.MethodGet, "/v1/endpoints?data_centre="+dataCentre, nil, &list)
 	for _, e := range list.Endpoints {
 		addrs = append(addrs, e.Addr)
-		if e.State == platform.EndpointRunning {
+		if e.State == infra.EndpointRunning {
 			running++
 		}
 	}
@@ -73,7 +73,7 @@
 	reclaimed, _ := s.endpointsIn("dc-1")
 	notice, reserve := time.Now(), s.orderedOutside("dc-1")
 	s.control(s.platform, http.MethodPost, "/control/reclaim",
-		platform.RunningEndpoint{DataCentre: "dc-1", Tier: "cheap", ReclaimIn: patience}, nil)
+		infra.RunningEndpoint{DataCentre: "dc-1", Tier: "cheap", ReclaimIn: patience}, nil)
 	s.checkReplaced("dc-1", reserve)
 	time.Sleep(time.Until(notice.Add(leaveWithin)))
 	before := s.total(reclaimed...)
--- a/internal/proctest/restart_test.go
+++ b/internal/proctest/restart_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/cumincove/cumincove/api"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // restartAll kills all instances and starts them with what the store has.
@@ -71,7 +71,7 @@
 		})
 	}
 	s.until("the log is cut", func() bool {
-		row := platform.Row{}
+		row := infra.Row{}
 		s.control(s.platform, http.MethodGet, "/control/row?key=config/log/00000000000000000001", nil, &row)
 		return row.Version == 0
 	})
--- a/internal/soak/shutdown.go
+++ b/internal/soak/shutdown.go
@@ -9,7 +9,7 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/config"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // shutdownStreams is the number of streams under way when an instance is told
@@ -100,9 +100,9 @@
 }
 
 // leavingEntry is what the platform's list says of an instance that stops.
-func leavingEntry(in *instance) platform.Instance {
-	return platform.Instance{
-		Name: in.name, DataCentre: in.set.DataCentre, State: platform.InstanceLeaving,
+func leavingEntry(in *instance) infra.Instance {
+	return infra.Instance{
+		Name: in.name, DataCentre: in.set.DataCentre, State: infra.InstanceLeaving,
 		PeerAddr: in.set.Listen.Peers, CallerAddr: in.set.Listen.Callers,
 	}
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/invariant"
-	"github.com/cumincove/cumincove/platform"
 )
 
 const (
@@ -139,7 +139,7 @@
 	}
 }
 
-func figuresOf(r platform.UsageReport) string {
+func figuresOf(r infra.UsageReport) string {
 	return fmt.Sprintf("%+v", r.Teams)
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -13,13 +13,13 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/daemon"
 	"github.com/cumincove/cumincove/internal/fake/fakeendpoint"
 	"github.com/cumincove/cumincove/internal/fake/fakeengine"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
 	"github.com/cumincove/cumincove/internal/memnet"
-	"github.com/cumincove/cumincove/platform"
-	"github.com/cumincove/cumincove/platform/httpapi"
 	"github.com/cumincove/cumincove/settings"
 	"github.com/uber-go/tally/v4"
 )
@@ -221,7 +221,7 @@
 }
 
 // launch starts an endpoint that the platform was ordered to run.
-func (w *world) launch(r platform.RunningEndpoint) (string, func(), error) {
+func (w *world) launch(r infra.RunningEndpoint) (string, func(), error) {
 	w.mu.Lock()
 	w.serial++
 	at := addr(orderedPort + w.serial)
@@ -257,8 +257,8 @@
 	set.Timing.FirstByte = config.Duration(5 * time.Second)
 	set.Timing.Idle = config.Duration(3 * time.Second)
 	in := w.runInstance(name, set)
-	w.platform.SetInstance(platform.Instance{
-		Name: name, DataCentre: dataCentre, State: platform.InstanceLive,
+	w.platform.SetInstance(infra.Instance{
+		Name: name, DataCentre: dataCentre, State: infra.InstanceLive,
 		PeerAddr: set.Listen.Peers, CallerAddr: set.Listen.Callers,
 	})
 	w.mu.Lock()
--- a/settings/check.go
+++ b/settings/check.go
@@ -34,7 +34,8 @@
 		u, err := url.Parse(s)
 		return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
 	}},
-	"env": {"the name of an environment variable", envName.MatchString},
+	"kind": {`"managed", or no text`, func(s string) bool { return s == KindManaged }},
+	"env":  {"the name of an environment variable", envName.MatchString},
 }
 
 // checkValue returns what is wrong with a field's value, or nothing.
@@ -68,6 +69,9 @@
 	return value >= low && value <= high
 }
 
+// KindManaged is the kind of platform whose store holds the configuration.
+const KindManaged = "managed"
+
 // relations checks fields against each other.
 func (d *decoder) relations(s Settings) {
 	t := s.Timing
@@ -78,11 +82,29 @@
 	d.encrypted("peers", s.Listen.Peers, s.TLS.Peers, s.Listen.AllowUnencrypted)
 	d.encrypted("operators", s.Listen.Operators, s.TLS.Operators, s.Listen.AllowUnencrypted)
 	d.files("callers", s.TLS.Callers)
+	d.managed(s)
 	d.distinct("listen.peers", s.Listen.Peers, "listen.callers", s.Listen.Callers)
 	d.distinct("listen.operators", s.Listen.Operators, "listen.callers", s.Listen.Callers)
 	d.distinct("listen.operators", s.Listen.Operators, "listen.peers", s.Listen.Peers)
 }
 
+// managed demands what a managed platform needs.
+func (d *decoder) managed(s Settings) {
+	if s.Platform.Kind != KindManaged {
+		return
+	}
+	d.below("timing.member_period", s.Timing.MemberPeriod, "timing.member_lapse", s.Timing.MemberLapse)
+	for _, f := range []struct{ field, value string }{
+		{"listen.readiness", s.Listen.Readiness},
+		{"listen.entries", s.Listen.Entries},
+		{"platform.duties_url", s.Platform.DutiesURL},
+	} {
+		if f.value == "" {
+			d.fault(d.lineOf("platform.kind"), f.field, "is missing; a managed platform needs it")
+		}
+	}
+}
+
 func (d *decoder) below(field string, value config.Duration, other string, limit config.Duration) {
 	if value >= limit {
 		d.fault(d.lineOf(field, other), field, "is %s; must be below %s, which is %s",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,11 @@
 	AdvertisePeers string `json:"advertise_peers,omitempty" format:"addr"`
 	// Operators is where operators and monitoring connect.
 	Operators string `json:"operators" format:"addr" required:"true"`
+	// Readiness is where a managed platform asks whether this instance is ready.
+	Readiness string `json:"readiness,omitempty" format:"addr"`
+	// Entries is where callers of a managed platform ask which addresses to
+	// use.
+	Entries string `json:"entries,omitempty" format:"addr"`
 	// AllowUnencrypted lets peers and operators connect without encryption at
 	// other than loopback addresses. Whoever can reach these addresses can then
 	// read and change everything.
@@ -68,6 +73,13 @@
 
 // Platform says where the platform's services are.
 type Platform struct {
+	// Kind is "managed" for a platform whose operators write the configuration
+	// to its store, and whose endpoints register there themselves. Empty means
+	// one that this system's own operators' interface configures.
+	Kind string `json:"kind,omitempty" format:"kind"`
+	// DutiesURL is the base URL of a managed platform's interface for usage
+	// reports.
+	DutiesURL string `json:"duties_url,omitempty" format:"url"`
 	// URL is the base URL of the platform's HTTP interface.
 	URL string `json:"url" format:"url" required:"true"`
 	// TokenEnv names the environment variable that holds the token to show to
@@ -118,6 +130,17 @@
 	// UsageFlush is the period between two writes of an instance's usage, and
 	// so the usage that a crash may lose.
 	UsageFlush config.Duration `json:"usage_flush" min:"100ms" max:"1m"`
+	// UsageGrace is how long after its end a usage window of a managed platform
+	// is closed, so that all instances have written theirs.
+	UsageGrace config.Duration `json:"usage_grace" min:"1s" max:"1h"`
+	// MemberPeriod is the time between two words of an instance of a managed
+	// platform that it lives, and MemberLapse the time without one after which
+	// the others go on without it.
+	MemberPeriod config.Duration `json:"member_period" min:"100ms" max:"1m"`
+	// MemberLapse: see MemberPeriod.
+	MemberLapse config.Duration `json:"member_lapse" min:"500ms" max:"10m"`
+	// Shutdown bounds a graceful shutdown on a managed platform.
+	Shutdown config.Duration `json:"shutdown" min:"1s" max:"1h"`
 	// EntriesKeep is how long callers may keep an answer from /v1/entries.
 	EntriesKeep config.Duration `json:"entries_keep" min:"1s" max:"10m"`
 	// DedupKeep is how long the IDs of requests to deduplicated services are
@@ -148,6 +171,10 @@
 			StorePoll:     config.Duration(500 * time.Millisecond),
 			UsageWindow:   config.Duration(time.Minute),
 			UsageFlush:    config.Duration(2 * time.Second),
+			UsageGrace:    config.Duration(5 * time.Second),
+			MemberPeriod:  config.Duration(time.Second),
+			MemberLapse:   config.Duration(4 * time.Second),
+			Shutdown:      config.Duration(7500 * time.Millisecond),
 			EntriesKeep:   config.Duration(30 * time.Second),
 			DedupKeep:     config.Duration(15 * time.Minute),
 			FirstByte:     config.Duration(30 * time.Second),
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -53,7 +53,7 @@
 		`line 5: listen.peers: want an IP address and port, for example "10.0.0.1:7001", got the number 7002`,
 		`line 7: platform.url: want a URL, for example "http://10.0.0.9:7000"`,
 		`line 7: platform.token_env: want the name of an environment variable`,
-		`line 7: platform.token: unknown field; want one of token_env, url`,
+		`line 7: platform.token: unknown field; want one of duties_url, kind, token_env, url`,
 		`line 8: limits.body_bytes: want a whole number of bytes, 1024 to 1073741824, got a text`,
 		`line 8: limits.in_flight: want a whole number of requests, 1 to 1000000`,
 		`line 9: timing.gossip: want a duration with its unit, for example "1.5s", 10ms to 10s, got the number 250`,
--- a/view/endpoint.go
+++ b/view/endpoint.go
@@ -19,6 +19,13 @@
 	ChecksEpoch bool
 	// Leaving endpoints get no new work.
 	Leaving bool
+	// Incarnation tells this start of the endpoint from others under its name;
+	// zero is unknown.
+	Incarnation int64
+	// Slots is how many requests it works on at once; zero is unknown.
+	Slots int
+	// Weights is the weight version of each model that an engine holds.
+	Weights map[string]uint64
 	// Load is the last report, taken at LoadAt in boot time.
 	Load   engine.Load
 	LoadAt time.Duration
--- a/view/resolve.go
+++ b/view/resolve.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/label"
-	"github.com/cumincove/cumincove/platform"
 )
 
 // Labels that endpoints ordered by the system get.
@@ -18,11 +18,21 @@
 
 // SetRunning replaces the endpoints that the platform runs for us. It is for
 // use within Store.Update only.
-func (v *View) SetRunning(running []platform.RunningEndpoint) {
+func (v *View) SetRunning(running []infra.RunningEndpoint) {
 	v.running = running
 	v.resolve()
 }
 
+// SetReplicas replaces the endpoints that registered themselves.
+func (v *View) SetReplicas(replicas []infra.Replica) {
+	v.replicas = replicas
+	v.resolve()
+}
+
+// Replicas returns the endpoints of the last SetReplicas. They must not be
+// changed.
+func (v *View) Replicas() []infra.Replica { return v.replicas }
+
 // SetLoad takes in new load reports by the endpoints' names. It is for use
 // within Store.Update only.
 //
@@ -73,6 +83,9 @@
 	for _, r := range v.running {
 		v.add(fromRunning(r), old)
 	}
+	for _, r := range v.replicas {
+		v.add(fromReplica(r), old)
+	}
 	v.Endpoints = make(map[string][]*Endpoint, len(v.Config.Services))
 	names := slices.Sorted(maps.Keys(v.byName))
 	for _, s := range v.Config.Services {
@@ -93,7 +106,7 @@
 
 func (v *View) add(e *Endpoint, old map[string]*Endpoint) {
 	e.Stats = &Stats{}
-	if o, ok := old[e.Name]; ok && o.Addr == e.Addr {
+	if o, ok := old[e.Name]; ok && o.Addr == e.Addr && o.Incarnation == e.Incarnation {
 		e.Stats = o.Stats
 	}
 	if l, ok := v.loads[e.Name]; ok {
@@ -114,7 +127,7 @@
 	}
 }
 
-func fromRunning(r platform.RunningEndpoint) *Endpoint {
+func fromRunning(r infra.RunningEndpoint) *Endpoint {
 	return &Endpoint{
 		Name:       r.Name,
 		DataCentre: r.DataCentre,
@@ -125,7 +138,16 @@
 			LabelTier:       r.Tier,
 			LabelDataCentre: r.DataCentre,
 		},
-		Leaving:    r.State != platform.EndpointRunning,
+		Leaving:    r.State != infra.EndpointRunning,
 		orderedFor: r.Service,
 	}
 }
+
+func fromReplica(r infra.Replica) *Endpoint {
+	e := fromRunning(r.RunningEndpoint)
+	e.Incarnation = r.Incarnation
+	e.Slots = r.Slots
+	e.Weights = r.Weights
+	e.Load.MaxRunning = r.Slots
+	return e
+}
--- a/view/view.go
+++ b/view/view.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 
 	"github.com/cumincove/cumincove/config"
-	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/infra"
 )
 
 // View is one consistent picture of the world as this instance knows it.
@@ -27,9 +27,11 @@
 	RolloutInstances int
 
 	keys    map[string]config.Key
-	running []platform.RunningEndpoint
-	loads   map[string]LoadReport
-	byName  map[string]*Endpoint
+	running []infra.RunningEndpoint
+	// replicas registered themselves.
+	replicas []infra.Replica
+	loads    map[string]LoadReport
+	byName   map[string]*Endpoint
 }
 
 // Member is an instance as membership sees it.
--- a/window/tally.go
+++ b/window/tally.go
@@ -71,6 +71,10 @@
 // Add counts usage into the current window.
 func (t *Tally) Add(team string, u Usage) { t.part(t.current).totals.Add(team, u) }
 
+// AddTo counts usage into a window, which may be past. Usage of a window that is
+// closed goes into the current one, marked late.
+func (t *Tally) AddTo(w int64, team string, u Usage) { t.part(w).totals.Add(team, u) }
+
 func (t *Tally) part(w int64) *part {
 	p := t.parts[w]
 	if p == nil {
