--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -51,6 +51,7 @@
 	defer closer.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go followReloads(ctx, file, s, log)
 	run := runOwn
 	if s.Platform.Kind == settings.KindManaged {
 		run = runManaged
@@ -61,6 +62,27 @@
 	return nil
 }
 
+// followReloads reads the settings file again at each SIGHUP and says what came
+// of it. Settings take effect at the next start.
+func followReloads(ctx context.Context, file string, running settings.Settings, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+			s, err := settings.Load(file)
+			if err != nil {
+				log.Error("settings are faulty", "file", file, "error", err)
+				continue
+			}
+			log.Info("settings read again", "file", file, "restart_needed", s != running)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // instance is what both kinds of instance are made of.
 type instance struct {
 	settings settings.Settings
--- a/controller/steps/rows.go
+++ b/controller/steps/rows.go
@@ -25,9 +25,10 @@
 	// rowBytes bounds the value of a row, in bytes, with room for what the
 	// table adds.
 	rowBytes = 60_000
-	// txBytes and txRows bound a transaction.
+	// txBytes and txRows bound a transaction. A row that is written under a
+	// condition counts twice at the store, which takes 100.
 	txBytes = 600_000
-	txRows  = 90
+	txRows  = 45
 	// page is the number of rows read at a time.
 	page = 500
 )
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -35,9 +35,10 @@
 			after = id
 		}
 		if len(ids) < partsPage {
-			return
+			break
 		}
 	}
+	c.sweep(ctx)
 }
 
 // look reads a step whose owner is not known or gone.
@@ -63,6 +64,51 @@
 	c.takeOver(ctx, id, t, s)
 }
 
+// sweep deletes the rows of a step that was closed long ago, some at a time. The
+// state goes last, so that the rest is found again.
+func (c *Controller) sweep(ctx context.Context) {
+	now := c.o.Clock.Now()
+	c.mu.Lock()
+	var id string
+	for closed, at := range c.closed {
+		if now-at > keepTime {
+			id = closed
+			break
+		}
+	}
+	c.mu.Unlock()
+	if id == "" {
+		return
+	}
+	if c.successor(id) == c.o.Self {
+		if err := deleteStep(ctx, c.table(id)); err != nil {
+			c.o.Log.Debug("step not deleted", "step", id, "error", err)
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.closed, id)
+}
+
+// deleteStep removes all rows of a step.
+func deleteStep(ctx context.Context, t infra.Table) error {
+	for _, prefix := range []string{specPrefix, resultPrefix, savedPrefix, statePrefix} {
+		rows, err := listAll(ctx, t, prefix)
+		if err != nil {
+			return err
+		}
+		var ops []infra.Op
+		for _, row := range rows {
+			ops = append(ops, infra.Delete(row.Key))
+		}
+		if err := commitAll(ctx, t, ops); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // note remembers what a step's rows say.
 func (c *Controller) note(id string, s state) {
 	c.mu.Lock()
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -159,6 +159,6 @@
 	avoidTime = time.Second
 	// maxBatch bounds the results of a Batch, and maxBatchBytes their text
 	// unless one alone is longer.
-	maxBatch      = 32
+	maxBatch      = 24
 	maxBatchBytes = 400 << 10
 )
