Steps: hand-over retries, leaving owners' steps are taken at once, endpoints that refuse rest

Weights: the endpoints' rows are read at once while an order is out. Ruled out: a lack of slots (72 for 120 samples).

--- a/controller/intent/controller.go
+++ b/controller/intent/controller.go
@@ -45,6 +45,7 @@
 	// boot time; zero is never.
 	readAt  atomic.Int64
 	weights atomic.Pointer[map[string]uint64]
+	hurry   chan struct{}
 	// listedAt is when the endpoints were last read, and keepUntil until when
 	// those that are missing are kept. Only one goroutine uses them.
 	listedAt, keepUntil time.Duration
@@ -52,7 +53,7 @@
 
 // New returns a Controller.
 func New(o Options) *Controller {
-	c := &Controller{o: o}
+	c := &Controller{o: o, hurry: make(chan struct{}, 1)}
 	c.weights.Store(&map[string]uint64{})
 	return c
 }
@@ -80,15 +81,23 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.loop(ctx, "replicas", c.readReplicas)
+		c.loop(ctx, "replicas", c.readReplicas, c.hurry)
 	}()
-	c.loop(ctx, "intent", c.readIntent)
+	c.loop(ctx, "intent", c.readIntent, nil)
 	<-done
 	return nil
 }
 
-// loop calls read once a period, and logs when it begins or ceases to fail.
-func (c *Controller) loop(ctx context.Context, what string, read func(context.Context) error) {
+// Hurry has the endpoints read at once.
+func (c *Controller) Hurry() {
+	select {
+	case c.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// loop calls read once a period, or when it is hurried, and logs when it begins or ceases to fail.
+func (c *Controller) loop(ctx context.Context, what string, read func(context.Context) error, hurry <-chan struct{}) {
 	tick := time.NewTicker(c.o.Poll)
 	defer tick.Stop()
 	failing := false
@@ -105,6 +114,7 @@
 		}
 		select {
 		case <-tick.C:
+		case <-hurry:
 		case <-ctx.Done():
 			return
 		}
--- a/controller/models/controller.go
+++ b/controller/models/controller.go
@@ -39,6 +39,8 @@
 	Log     *slog.Logger
 	Scope   tally.Scope
 	Holder  string
+	// Hurry has the endpoints' rows read at once.
+	Hurry func()
 	// Named returns the named version of each model.
 	Named func() map[string]uint64
 	// SingleVersion reports whether samples of a model must be generated under
@@ -94,6 +96,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	loading := c.settle(v, now)
+	if loading > 0 {
+		c.o.Hurry()
+	}
 	for _, load := range Plan(enginesOf(v), c.o.Named()) {
 		if loading >= atOnce {
 			return
--- a/controller/models/plan.go
+++ b/controller/models/plan.go
@@ -18,22 +18,25 @@
 	Engine  string
 	Model   string
 	Version uint64
+	// lag is how many versions the engine is behind.
+	lag uint64
 }
 
-// Plan returns the loads that are due, those of the model that is furthest
-// behind first. Named is the wanted version of each model that has one.
+// Plan returns the loads that are due: those of the model with the fewest engines
+// at its version first, and of its engines those that are furthest behind. Named is the wanted version of each model that has one.
 func Plan(engines []Engine, named map[string]uint64) []Load {
 	var loads []Load
 	for model, share := range Shares(engines, named) {
 		for _, e := range share {
 			if e.Weights[model] < named[model] {
-				loads = append(loads, Load{Engine: e.Name, Model: model, Version: named[model]})
+				loads = append(loads, Load{Engine: e.Name, Model: model, Version: named[model], lag: lag(e, model, named)})
 			}
 		}
 	}
 	ready := readyCounts(engines, named)
 	slices.SortFunc(loads, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(ready[a.Model], ready[b.Model]), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Engine, b.Engine))
+		return cmp.Or(cmp.Compare(ready[a.Model], ready[b.Model]), cmp.Compare(a.Model, b.Model),
+			cmp.Compare(b.lag, a.lag), cmp.Compare(a.Engine, b.Engine))
 	})
 	return loads
 }
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -18,7 +18,7 @@
 	// callTimeout bounds a call of the table on behalf of a step.
 	callTimeout = 2 * time.Second
 	// scanPeriod is the time between two looks for steps without an owner.
-	scanPeriod = 500 * time.Millisecond
+	scanPeriod = 300 * time.Millisecond
 	// keepTime is how long the rows of a step are kept after its end.
 	keepTime = 5 * time.Minute
 )
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -470,14 +470,23 @@
 	}
 }
 
-// handOver saves what there is and gives the step up.
+// handOver saves what there is and gives the step up, as soon as the store lets
+// it. The streams go on until then.
 func (r *runner) handOver(ctx context.Context) {
 	r.mu.Lock()
 	r.paused = true
 	r.mu.Unlock()
-	r.save(ctx, 1)
-	err := r.commit(ctx, []infra.Op{infra.PutJSON(ownerKey, r.ownerVersion, owner{})})
-	r.log.Info("step handed over", "error", err)
+	for {
+		r.save(ctx, 1)
+		err := r.commit(ctx, []infra.Op{infra.PutJSON(ownerKey, r.ownerVersion, owner{})})
+		r.log.Info("step handed over", "error", err)
+		if err == nil || errors.Is(err, infra.ErrConflict) || sleep(ctx, retryPause) != nil {
+			break
+		}
+		if r.isDone() {
+			break
+		}
+	}
 	r.mu.Lock()
 	r.over()
 	r.mu.Unlock()
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -48,7 +48,7 @@
 	own, seen := c.known[id]
 	busy := c.runners[id] != nil || c.accepting[id]
 	c.mu.Unlock()
-	if closed || busy || seen && c.alive(own) {
+	if closed || busy || seen && c.alive(own) && !c.leaves(own) {
 		return
 	}
 	t := c.table(id)
@@ -131,6 +131,11 @@
 	return ok && m.Incarnation == o.Incarnation
 }
 
+// leaves reports whether an owner is about to give its steps away.
+func (c *Controller) leaves(o owner) bool {
+	return c.o.Views.Load().Members[o.Instance].Leaving
+}
+
 // successor names the instance that a step without an owner falls to: all that
 // see the same members name the same one.
 func (c *Controller) successor(id string) string {
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -157,6 +157,10 @@
 	// avoidTime is how long a sample stays away from an endpoint that refused
 	// or broke it, if there are others.
 	avoidTime = time.Second
+	// restTime is how long an endpoint that refused a sample gets no other one.
+	// It doubles with each refusal in a row up to maxRest.
+	restTime = 50 * time.Millisecond
+	maxRest  = 400 * time.Millisecond
 	// maxBatch bounds the results of a Batch, and maxBatchBytes their text
 	// unless one alone is longer.
 	maxBatch      = 24
--- a/durable/step.go
+++ b/durable/step.go
@@ -69,12 +69,21 @@
 	queue    []*sample
 	ended    bool
 	cancels  []Action
+	// rests holds the endpoints that refused samples of late.
+	rests map[string]rest
+}
+
+// rest is a pause in the use of an endpoint.
+type rest struct {
+	until time.Duration
+	// refusals counts those in a row.
+	refusals int
 }
 
 // New returns a Step with the results that are stored already, in order of
 // position, and what was saved of other samples.
 func New(spec Spec, results []Result, saved []Saved) *Step {
-	s := &Step{spec: spec, byID: map[string]*sample{}, byRun: map[RunID]*sample{}}
+	s := &Step{spec: spec, byID: map[string]*sample{}, byRun: map[RunID]*sample{}, rests: map[string]rest{}}
 	for _, sm := range spec.Samples {
 		p := &sample{Sample: sm}
 		s.samples = append(s.samples, p)
@@ -240,7 +249,7 @@
 	bestAvoided := false
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Free <= 0 || !s.takes(p, e.Version) {
+		if e.Free <= 0 || !s.takes(p, e.Version) || now < s.rests[e.Name].until {
 			continue
 		}
 		avoided := e.Name == p.avoid && now < p.avoidUntil
@@ -277,6 +286,7 @@
 	}
 	p.events = append(p.events, text)
 	p.misses = 0
+	delete(s.rests, p.endpoint)
 	if !slices.Contains(p.versions, version) {
 		p.versions = append(p.versions, version)
 	}
@@ -306,6 +316,7 @@
 		}
 		s.pause(now, p, lostPause)
 	case Refused:
+		s.rest(now, p.endpoint)
 		s.pause(now, p, refusedPause)
 	case Broken:
 		s.restart(p)
@@ -313,6 +324,19 @@
 	}
 }
 
+// rest keeps an endpoint free of new samples for a while: it is full, or loads
+// weights, and would refuse the others too. Refusals of what was sent before the
+// pause began don't prolong it.
+func (s *Step) rest(now time.Duration, endpoint string) {
+	r := s.rests[endpoint]
+	if now < r.until {
+		return
+	}
+	r.until = now + min(restTime<<min(r.refusals, 5), maxRest)
+	r.refusals++
+	s.rests[endpoint] = r
+}
+
 // restart drops the events of a sample that no endpoint may go on with: under
 // a single version it can only begin anew once its version is gone.
 func (s *Step) restart(p *sample) {
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -124,7 +124,7 @@
 	m.models = models.New(models.Options{
 		Engines: deps.Platform.Engines, Keeper: m.keeper, Views: m.views, Clock: deps.Clock,
 		Log: deps.Log, Scope: deps.Scope, Holder: s.Name,
-		Named: m.intent.Weights, SingleVersion: singleVersion,
+		Hurry: m.intent.Hurry, Named: m.intent.Weights, SingleVersion: singleVersion,
 	})
 	m.usage = usage.New(usage.Options{
 		Table: deps.Platform.Table, Reports: deps.Platform.Usage, Keeper: m.keeper,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -174,7 +174,7 @@
 			UsageGrace:    config.Duration(5 * time.Second),
 			MemberPeriod:  config.Duration(time.Second),
 			MemberLapse:   config.Duration(4 * time.Second),
-			Shutdown:      config.Duration(7500 * time.Millisecond),
+			Shutdown:      config.Duration(4500 * time.Millisecond),
 			EntriesKeep:   config.Duration(30 * time.Second),
 			DedupKeep:     config.Duration(15 * time.Minute),
 			FirstByte:     config.Duration(30 * time.Second),
