--- a/config/model.go
+++ b/config/model.go
@@ -174,6 +174,9 @@
 	// HourlyCost is the price of one running endpoint, in currency units an
 	// hour.
 	HourlyCost float64 `json:"hourly_cost,omitempty"`
+	// StartTime is how long a new endpoint takes until it serves; zero is
+	// unknown.
+	StartTime Duration `json:"start_time,omitempty"`
 }
 
 // Endpoint is a back end at a fixed address.
--- a/controller/models/controller.go
+++ b/controller/models/controller.go
@@ -21,6 +21,8 @@
 	dutyName = "weights"
 	// lookPeriod is the time between two looks at what is due.
 	lookPeriod = 100 * time.Millisecond
+	// demandPeriod is the time between two reads of the demand.
+	demandPeriod = time.Second
 	// atOnce is how many engines load at a time: more slow each other down.
 	atOnce = 2
 	// settleTime is how long an accepted order may take to show before the
@@ -33,12 +35,14 @@
 // Options says what a Controller works with.
 type Options struct {
 	Engines infra.Engines
-	Keeper  *leases.Keeper
-	Views   *view.Store
-	Clock   clock.Clock
-	Log     *slog.Logger
-	Scope   tally.Scope
-	Holder  string
+	// Demand reads the work that the steps of each model bring.
+	Demand func(ctx context.Context) (map[string]float64, error)
+	Keeper *leases.Keeper
+	Views  *view.Store
+	Clock  clock.Clock
+	Log    *slog.Logger
+	Scope  tally.Scope
+	Holder string
 	// Hurry has the endpoints' rows read at once.
 	Hurry func()
 	// Named returns the named version of each model.
@@ -54,6 +58,8 @@
 	duty *leases.Runner
 
 	mu sync.Mutex
+	// demand is the work of each model as last read.
+	demand map[string]float64
 	// ordered holds what each engine was last told, by its name.
 	ordered map[string]order
 }
@@ -74,10 +80,14 @@
 func (c *Controller) Run(ctx context.Context) error {
 	tick := time.NewTicker(lookPeriod)
 	defer tick.Stop()
+	reread := time.NewTicker(demandPeriod)
+	defer reread.Stop()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for {
 		select {
+		case <-reread.C:
+			c.readDemand(ctx)
 		case <-tick.C:
 			c.look(ctx, &wg)
 		case <-ctx.Done():
@@ -86,6 +96,22 @@
 	}
 }
 
+// readDemand reads the work of each model, if this instance holds the duty. What
+// was read before stays when the store does not answer.
+func (c *Controller) readDemand(ctx context.Context) {
+	if !c.duty.Holds() {
+		return
+	}
+	demand, err := c.o.Demand(ctx)
+	if err != nil {
+		c.o.Log.Debug("demand not read", "error", err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.demand = demand
+}
+
 // look begins the loads that are due and for which there is room.
 func (c *Controller) look(ctx context.Context, wg *sync.WaitGroup) {
 	if !c.duty.Holds() {
@@ -99,7 +125,8 @@
 	if loading > 0 {
 		c.o.Hurry()
 	}
-	for _, load := range Plan(enginesOf(v), c.o.Named()) {
+	goal := Goal{Named: c.o.Named(), Demand: c.demand}
+	for _, load := range Plan(enginesOf(v), goal) {
 		if loading >= atOnce {
 			return
 		}
--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -35,6 +35,7 @@
 		c.o.Log.Warn("step not accepted", "step", spec.ID, "team", spec.Team, "samples", len(spec.Samples), "error", err)
 		return err
 	}
+	c.running.Go(func() { c.noteDemand(c.ctx, spec) })
 	return nil
 }
 
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -28,7 +28,9 @@
 
 // Options says what a Controller works with.
 type Options struct {
-	Steps   infra.Tables
+	Steps infra.Tables
+	// Shared is the table of the whole system.
+	Shared  infra.Table
 	Engines infra.Engines
 	Score   ScoreFunc
 	Views   *view.Store
--- a/infra/platform.go
+++ b/infra/platform.go
@@ -140,4 +140,12 @@
 	Replicas Replicas
 	Engines  Engines
 	Usage    UsageReports
+	Scaler   Scaler
+}
+
+// Scaler takes orders for endpoints that register themselves.
+type Scaler interface {
+	// Order sends an order. ErrStaleEpoch means that a newer holder was seen, or
+	// that none of this kind are to be had now.
+	Order(ctx context.Context, o EndpointOrder) error
 }
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -13,6 +13,7 @@
 	"github.com/cumincove/cumincove/controller/leases"
 	"github.com/cumincove/cumincove/controller/models"
 	"github.com/cumincove/cumincove/controller/presence"
+	"github.com/cumincove/cumincove/controller/scaling"
 	"github.com/cumincove/cumincove/controller/steps"
 	"github.com/cumincove/cumincove/controller/usage"
 	"github.com/cumincove/cumincove/dispatch"
@@ -85,6 +86,7 @@
 	presence *presence.Controller
 	keeper   *leases.Keeper
 	models   *models.Controller
+	scaling  *scaling.Controller
 	steps    *steps.Controller
 	usage    *usage.Controller
 
@@ -124,7 +126,13 @@
 	m.models = models.New(models.Options{
 		Engines: deps.Platform.Engines, Keeper: m.keeper, Views: m.views, Clock: deps.Clock,
 		Log: deps.Log, Scope: deps.Scope, Holder: s.Name,
-		Hurry: m.intent.Hurry, Named: m.intent.Weights, SingleVersion: singleVersion,
+		Demand: func(ctx context.Context) (map[string]float64, error) { return m.steps.Demand(ctx) },
+		Hurry:  m.intent.Hurry, Named: m.intent.Weights, SingleVersion: singleVersion,
+	})
+	m.scaling = scaling.New(scaling.Options{
+		Table: deps.Platform.Table, Scaler: deps.Platform.Scaler, Keeper: m.keeper,
+		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope, Holder: s.Name,
+		Fresh: func() bool { return m.intent.Fresh(deps.Clock.Now()) },
 	})
 	m.usage = usage.New(usage.Options{
 		Table: deps.Platform.Table, Reports: deps.Platform.Usage, Keeper: m.keeper,
@@ -134,7 +142,7 @@
 	})
 	m.newRequestParts()
 	m.steps = steps.New(steps.Options{
-		Steps: deps.Platform.Steps, Engines: deps.Platform.Engines, Score: m.score(),
+		Steps: deps.Platform.Steps, Shared: deps.Platform.Table, Engines: deps.Platform.Engines, Score: m.score(),
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: s.Name, Incarnation: m.incarnation, Synced: m.presence.Synced,
 	})
@@ -170,6 +178,7 @@
 		m.presence,
 		m.keeper,
 		m.models,
+		m.scaling,
 		m.steps,
 		m.usage,
 		m.dispatcher,
