Tests for the platform's parts, three faults found by them

- models: shares by work for each engine, so that the smallest model is not the worst served (3, 3, 2 of 8 in place of 4, 3, 1).

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -51,7 +51,7 @@
 	defer closer.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go followReloads(ctx, file, s, log)
+	go followReloads(ctx, notifyHangup(), file, s, log)
 	run := runOwn
 	if s.Platform.Kind == settings.KindManaged {
 		run = runManaged
@@ -62,15 +62,20 @@
 	return nil
 }
 
+// notifyHangup returns what gets each SIGHUP from now on.
+func notifyHangup() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // followReloads reads the settings file again at each SIGHUP and says what came
 // of it. Settings take effect at the next start.
-func followReloads(ctx context.Context, file string, running settings.Settings, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func followReloads(ctx context.Context, hangups chan os.Signal, file string, running settings.Settings, log *slog.Logger) {
+	defer signal.Stop(hangups)
 	for {
 		select {
-		case <-hup:
+		case <-hangups:
 			s, err := settings.Load(file)
 			if err != nil {
 				log.Error("settings are faulty", "file", file, "error", err)
--- /dev/null
+++ b/cmd/cumincoved/main_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cumincove/cumincove/settings"
+)
+
+// buffer is a log that may be read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// TestHangup: SIGHUP has the settings file read again and does not end the
+// process.
+func TestHangup(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	if err := os.WriteFile(file, []byte(`{"name": 5}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var out buffer
+	hangups := notifyHangup()
+	go followReloads(ctx, hangups, file, settings.Default(), slog.New(slog.NewTextHandler(&out, nil)))
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	for range 1000 {
+		if strings.Contains(out.String(), "settings are faulty") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("log: %q", out.String())
+}
--- /dev/null
+++ b/config/route_test.go
@@ -0,0 +1,18 @@
+package config
+
+import "testing"
+
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Targets: []RouteTarget{{"a", 90}, {"b", 10}, {"c", 0}}}
+	for _, c := range []struct {
+		draw float64
+		want string
+	}{{0, "a"}, {0.89, "a"}, {0.9, "b"}, {0.999, "b"}} {
+		if got := r.Pick(c.draw); got != c.want {
+			t.Errorf("Pick(%v) = %q, want %q", c.draw, got, c.want)
+		}
+	}
+	if got := (Route{}).Pick(0.5); got != "" {
+		t.Errorf("a route without targets picks %q", got)
+	}
+}
--- a/controller/models/plan.go
+++ b/controller/models/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -53,9 +54,9 @@
 	return loads
 }
 
-// seatGain is by how many engines a model must be nearer to its share than
-// another before it takes one from it: a move costs a load, and its use until
-// then.
+// seatGain is by what factor an engine must have more work with one model than
+// it would have with another before it moves there: a move costs a load, and its
+// use until then.
 const seatGain = 1.25
 
 // Shares divides the engines between the models by their demand. An engine stays
@@ -74,15 +75,16 @@
 			free = append(free, e)
 		}
 	}
-	ideal := g.ideal(models, len(engines))
-	need := func(m string) float64 { return ideal[m] - float64(len(homes[m])) }
+	demand := g.demands(models)
+	work := func(m string, engines int) float64 { return perEngine(demand[m], engines) }
 	for _, e := range free {
-		m := neediest(models, need)
+		m := busiest(models, func(m string) float64 { return work(m, len(homes[m])) })
 		homes[m] = append(homes[m], e)
 	}
 	for range engines {
-		to, from := neediest(models, need), richest(models, need)
-		if need(to)-need(from) <= seatGain || len(homes[from]) <= 1 {
+		to := busiest(models, func(m string) float64 { return work(m, len(homes[m])) })
+		from := busiest(models, func(m string) float64 { return -work(m, len(homes[m])-1) })
+		if work(to, len(homes[to])) <= seatGain*work(from, len(homes[from])-1) {
 			break
 		}
 		list := homes[from]
@@ -93,6 +95,14 @@
 	return homes
 }
 
+// perEngine is the work of each of a number of engines.
+func perEngine(demand float64, engines int) float64 {
+	if engines <= 0 {
+		return math.Inf(1)
+	}
+	return demand / float64(engines)
+}
+
 func byName(a, b Engine) int { return cmp.Compare(a.Name, b.Name) }
 
 // modelsOf lists the models that any engine holds.
@@ -121,11 +131,12 @@
 	return home
 }
 
-// ideal is each model's share of a number of engines.
-func (g Goal) ideal(models []string, n int) map[string]float64 {
+// demands returns the work of each model. One that is not known counts as the
+// mean of the others.
+func (g Goal) demands(models []string) map[string]float64 {
 	sum, known := 0.0, 0
 	for _, m := range models {
-		if d, ok := g.Demand[m]; ok && d > 0 {
+		if d := g.Demand[m]; d > 0 {
 			sum += d
 			known++
 		}
@@ -134,28 +145,19 @@
 	if known > 0 {
 		mean = sum / float64(known)
 	}
-	demand := func(m string) float64 {
+	demands := make(map[string]float64, len(models))
+	for _, m := range models {
+		demands[m] = mean
 		if d := g.Demand[m]; d > 0 {
-			return d
+			demands[m] = d
 		}
-		return mean
 	}
-	total := sum + mean*float64(len(models)-known)
-	shares := make(map[string]float64, len(models))
-	for _, m := range models {
-		shares[m] = demand(m) / total * float64(n)
-	}
-	return shares
-}
-
-// neediest returns the model that lacks most of its share.
-func neediest(models []string, need func(string) float64) string {
-	return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(need(a), need(b)) })
+	return demands
 }
 
-// richest returns the model that is most over its share.
-func richest(models []string, need func(string) float64) string {
-	return slices.MinFunc(models, func(a, b string) int { return cmp.Compare(need(a), need(b)) })
+// busiest returns the model with the most work by a measure.
+func busiest(models []string, work func(model string) float64) string {
+	return slices.MaxFunc(models, func(a, b string) int { return cmp.Compare(work(a), work(b)) })
 }
 
 // closest returns the position of the engine that is least behind in a model.
--- /dev/null
+++ b/controller/models/plan_test.go
@@ -0,0 +1,99 @@
+package models
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestSharesFollowDemand: the model with the most work gets the most engines.
+func TestSharesFollowDemand(t *testing.T) {
+	var engines []Engine
+	for i := range 8 {
+		engines = append(engines, Engine{Name: fmt.Sprint("e", i), Weights: map[string]uint64{"a": 1, "b": 1, "c": 1}})
+	}
+	g := Goal{Demand: map[string]float64{"a": 50, "b": 45, "c": 20}}
+	shares := Shares(engines, g)
+	for model, want := range map[string]int{"a": 3, "b": 3, "c": 2} {
+		if got := len(shares[model]); got != want {
+			t.Errorf("%s has %d engines, want %d", model, got, want)
+		}
+	}
+}
+
+// TestFirstVersionLoadsOneShare: the first model that is named does not take the
+// engines of those that are not yet.
+func TestFirstVersionLoadsOneShare(t *testing.T) {
+	var engines []Engine
+	for i := range 9 {
+		engines = append(engines, Engine{Name: fmt.Sprint("e", i), Weights: map[string]uint64{"a": 1, "b": 1, "c": 1}})
+	}
+	if loads := Plan(engines, Goal{Named: map[string]uint64{"b": 2}}); len(loads) != 3 {
+		t.Errorf("%d loads, want 3: %v", len(loads), loads)
+	}
+}
+
+// TestFurthestBehindFirst: with loads slower than versions, each engine is loaded
+// every second version, and none starves.
+func TestFurthestBehindFirst(t *testing.T) {
+	engines := []Engine{
+		{Name: "e0", Weights: map[string]uint64{"a": 6}},
+		{Name: "e1", Weights: map[string]uint64{"a": 5}},
+		{Name: "e2", Weights: map[string]uint64{"a": 6}},
+	}
+	loads := Plan(engines, Goal{Named: map[string]uint64{"a": 7}})
+	if len(loads) != 3 || loads[0].Engine != "e1" {
+		t.Errorf("loads %v, want e1 first", loads)
+	}
+}
+
+// TestPlanIsStable plays versions and checks that engines stay with their models,
+// and that each engine has one.
+func TestPlanIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		models := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "models")]
+		weights := map[string]map[string]uint64{}
+		for i := range rapid.IntRange(len(models), 20).Draw(t, "engines") {
+			w := map[string]uint64{}
+			for _, m := range models {
+				w[m] = 1
+			}
+			weights[fmt.Sprintf("e%02d", i)] = w
+		}
+		g := Goal{Named: map[string]uint64{}, Demand: map[string]float64{}}
+		for _, m := range models {
+			g.Named[m] = 1
+			g.Demand[m] = rapid.Float64Range(1, 3).Draw(t, "demand")
+		}
+		loads := 0
+		const rounds = 12
+		for range rounds {
+			for _, m := range models {
+				g.Named[m]++
+			}
+			for _, l := range Plan(enginesFrom(weights), g) {
+				weights[l.Engine][l.Model] = l.Version
+				loads++
+			}
+			total := 0
+			for _, share := range Shares(enginesFrom(weights), g) {
+				total += len(share)
+			}
+			if total != len(weights) {
+				t.Fatalf("%d of %d engines are shared out", total, len(weights))
+			}
+		}
+		if most := rounds*len(weights) + len(weights); loads > most {
+			t.Fatalf("%d loads for %d engines and %d versions", loads, len(weights), rounds)
+		}
+	})
+}
+
+func enginesFrom(weights map[string]map[string]uint64) []Engine {
+	var list []Engine
+	for name, w := range weights {
+		list = append(list, Engine{Name: name, Weights: w})
+	}
+	return list
+}
--- /dev/null
+++ b/controller/usage/windows_test.go
@@ -0,0 +1,22 @@
+package usage
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWindows: a request counts in the window in which it began, however late it
+// is drained.
+func TestWindows(t *testing.T) {
+	w := NewWindows(5)
+	for _, at := range []int64{10, 14, 15} {
+		w.Began("wells", time.Unix(at, 999_000_000))
+	}
+	counts := w.drain()
+	if counts[10]["wells"].Requests != 2 || counts[15]["wells"].Requests != 1 || len(counts) != 2 {
+		t.Errorf("counts %v", counts)
+	}
+	if len(w.drain()) != 0 {
+		t.Error("drained twice")
+	}
+}
--- /dev/null
+++ b/durable/model_test.go
@@ -0,0 +1,337 @@
+package durable
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// oracle is a world in which a step runs: engines that produce the events of
+// each sample, and a store that keeps results by position.
+type oracle struct {
+	step    *Step
+	spec    Spec
+	now     time.Duration
+	runs    map[RunID]*engineRun
+	scoring []string
+	stored  []Result
+	batch   *Batch
+	// produced holds the version under which each event of a sample was last
+	// produced.
+	produced map[string][]uint64
+	versions map[string]uint64 // of the endpoints
+	failures map[string]int
+}
+
+type engineRun struct {
+	sample   Sample
+	endpoint string
+	next     int
+}
+
+const eventsOfSample = 4
+
+func newOracle(t *rapid.T) *oracle {
+	o := &oracle{
+		runs: map[RunID]*engineRun{}, produced: map[string][]uint64{},
+		versions: map[string]uint64{"a": 1, "b": 2, "c": 2}, failures: map[string]int{},
+	}
+	o.spec = Spec{
+		ID: "s", MinVersion: uint64(rapid.IntRange(1, 2).Draw(t, "min")), MaxFailures: 3, MaxScoreFailures: 2,
+		SingleVersion: rapid.Bool().Draw(t, "single"),
+	}
+	for i := range rapid.IntRange(1, 5).Draw(t, "samples") {
+		s := Sample{ID: fmt.Sprint("x", i), Length: i}
+		if i%2 == 0 {
+			s.Scorer = &Scorer{ID: "r" + s.ID}
+		}
+		o.spec.Samples = append(o.spec.Samples, s)
+	}
+	o.step = New(o.spec, nil, nil)
+	return o
+}
+
+func (o *oracle) tick(t *rapid.T) {
+	o.now += time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond
+	var endpoints []Endpoint
+	for _, name := range []string{"a", "b", "c"} {
+		endpoints = append(endpoints, Endpoint{Name: name, Version: o.versions[name], Free: rapid.IntRange(-1, 2).Draw(t, "free")})
+	}
+	free := map[string]int{}
+	for _, e := range endpoints {
+		free[e.Name] = max(e.Free, 0)
+	}
+	for _, a := range o.step.Tick(o.now, endpoints) {
+		o.perform(t, a, free)
+	}
+}
+
+func (o *oracle) perform(t *rapid.T, a Action, free map[string]int) {
+	switch a := a.(type) {
+	case Start:
+		if free[a.Endpoint]--; free[a.Endpoint] < 0 {
+			t.Fatalf("%s gets more streams than it has room for", a.Endpoint)
+		}
+		if o.versions[a.Endpoint] < o.spec.MinVersion {
+			t.Fatalf("%s starts at version %d", a.Sample.ID, o.versions[a.Endpoint])
+		}
+		for _, r := range o.runs {
+			if r.sample.ID == a.Sample.ID {
+				t.Fatalf("%s runs twice", a.Sample.ID)
+			}
+		}
+		if slices.ContainsFunc(o.stored, func(r Result) bool { return r.ID == a.Sample.ID }) {
+			t.Fatalf("%s starts and is listed", a.Sample.ID)
+		}
+		o.runs[a.Run] = &engineRun{sample: a.Sample, endpoint: a.Endpoint, next: a.After + 1}
+	case Cancel:
+		delete(o.runs, a.Run)
+	case Score:
+		o.scoring = append(o.scoring, a.ID)
+	}
+}
+
+// pick draws a run, or returns nil.
+func (o *oracle) pick(t *rapid.T) (RunID, *engineRun) {
+	if len(o.runs) == 0 {
+		return 0, nil
+	}
+	var ids []RunID
+	for id := range o.runs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(t, "run")
+	return id, o.runs[id]
+}
+
+func text(id string, index int) string { return fmt.Sprintf("%s-%d", id, index) }
+
+// event produces the next event of a run, or its end after the last one.
+func (o *oracle) event(t *rapid.T) {
+	id, r := o.pick(t)
+	if r == nil {
+		return
+	}
+	if r.next > eventsOfSample {
+		delete(o.runs, id)
+		o.step.Ended(o.now, id, Whole)
+		return
+	}
+	version := o.versions[r.endpoint]
+	err := o.step.Event(id, r.next, text(r.sample.ID, r.next), version)
+	if err != nil {
+		delete(o.runs, id)
+		o.step.Ended(o.now, id, Broken)
+		return
+	}
+	o.produced[r.sample.ID] = append(o.produced[r.sample.ID][:r.next-1], version)
+	r.next++
+}
+
+// gap sends an event that does not follow.
+func (o *oracle) gap(t *rapid.T) {
+	id, r := o.pick(t)
+	if r == nil {
+		return
+	}
+	if o.step.Event(id, r.next+1, "?", o.versions[r.endpoint]) == nil {
+		t.Fatal("a gap is accepted")
+	}
+}
+
+func (o *oracle) end(t *rapid.T) {
+	id, r := o.pick(t)
+	if r == nil {
+		return
+	}
+	end := rapid.SampledFrom([]End{Refused, Failed, Rejected, Broken}).Draw(t, "end")
+	if end == Failed {
+		o.failures[r.sample.ID]++
+	}
+	if end == Rejected {
+		o.failures[r.sample.ID] = o.spec.MaxFailures
+	}
+	delete(o.runs, id)
+	o.step.Ended(o.now, id, end)
+}
+
+func (o *oracle) score(t *rapid.T) {
+	if len(o.scoring) == 0 {
+		return
+	}
+	id := o.scoring[0]
+	o.scoring = o.scoring[1:]
+	end := rapid.SampledFrom([]ScoreEnd{ScoreDone, ScoreFailed, ScoreLost}).Draw(t, "end")
+	if end == ScoreFailed {
+		o.failures["r"+id]++
+	}
+	o.step.Scored(o.now, id, "score of "+id, end)
+}
+
+// store takes a batch, which is stored or not.
+func (o *oracle) store(t *rapid.T) {
+	if o.batch == nil {
+		o.batch = o.step.Batch()
+		return
+	}
+	b := o.batch
+	o.batch = nil
+	if rapid.Bool().Draw(t, "lost") {
+		o.step.Unstored()
+		return
+	}
+	if b.Position != len(o.stored) {
+		t.Fatalf("a batch for position %d of %d", b.Position, len(o.stored))
+	}
+	o.stored = append(o.stored, b.Results...)
+	o.step.Stored()
+}
+
+// takeOver goes on with another Step, as another process would.
+func (o *oracle) takeOver(t *rapid.T) {
+	var saved []Saved
+	if rapid.Bool().Draw(t, "saved") {
+		saved = o.step.Unsaved(1)
+	}
+	o.step = New(o.spec, o.stored, saved)
+	o.runs, o.scoring, o.batch = map[RunID]*engineRun{}, nil, nil
+}
+
+func (o *oracle) load(t *rapid.T) {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "endpoint")
+	o.versions[name]++
+}
+
+func (o *oracle) check(t *rapid.T) {
+	seen := map[string]bool{}
+	for at, r := range o.stored {
+		if seen[r.ID] {
+			t.Fatalf("%s is listed twice", r.ID)
+		}
+		seen[r.ID] = true
+		o.checkResult(t, at, r)
+	}
+}
+
+func (o *oracle) checkResult(t *rapid.T, at int, r Result) {
+	if !r.Complete {
+		if o.failures[r.ID] < o.spec.MaxFailures && o.failures["r"+r.ID] < o.spec.MaxScoreFailures {
+			t.Fatalf("%s is given up too early", r.ID)
+		}
+		return
+	}
+	var want []string
+	for i := 1; i <= eventsOfSample; i++ {
+		want = append(want, text(r.ID, i))
+	}
+	if r.Text != strings.Join(want, "\n") {
+		t.Fatalf("position %d: text %q", at, r.Text)
+	}
+	versions := map[uint64]bool{}
+	for _, v := range o.produced[r.ID] {
+		versions[v] = true
+	}
+	if len(versions) != len(r.Versions) {
+		t.Fatalf("%s: versions %v, produced under %v", r.ID, r.Versions, o.produced[r.ID])
+	}
+	for _, v := range r.Versions {
+		if !versions[v] || v < o.spec.MinVersion {
+			t.Fatalf("%s: version %d, produced under %v", r.ID, v, o.produced[r.ID])
+		}
+	}
+	if o.spec.SingleVersion && len(r.Versions) != 1 {
+		t.Fatalf("%s: versions %v under a single one", r.ID, r.Versions)
+	}
+	if s := o.step.byID[r.ID].Scorer; s != nil && r.Score != "score of "+r.ID {
+		t.Fatalf("%s is listed without its score", r.ID)
+	}
+}
+
+// TestStepAgainstOracle runs steps through broken streams, failures, lost
+// writes, loads of weights and changes of owner.
+func TestStepAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := newOracle(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"tick": o.tick, "event": o.event, "gap": o.gap, "end": o.end, "score": o.score,
+			"store": o.store, "takeOver": o.takeOver, "load": o.load, "": o.check,
+		})
+		o.drain(t)
+	})
+}
+
+// drain lets the world be kind: the step must come to its end.
+func (o *oracle) drain(t *rapid.T) {
+	for name := range o.versions {
+		o.versions[name] = max(o.versions[name], o.spec.MinVersion)
+	}
+	for range 200 * len(o.spec.Samples) {
+		o.now += maxPause
+		for _, a := range o.step.Tick(o.now, []Endpoint{{Name: "b", Version: o.versions["b"], Free: 9}, {Name: "c", Version: o.versions["c"], Free: 9}}) {
+			o.perform(t, a, map[string]int{"b": 99, "c": 99})
+		}
+		for range 2 * len(o.runs) {
+			o.event(t)
+		}
+		for len(o.scoring) > 0 {
+			id := o.scoring[0]
+			o.scoring = o.scoring[1:]
+			o.step.Scored(o.now, id, "score of "+id, ScoreDone)
+		}
+		if o.batch == nil {
+			o.batch = o.step.Batch()
+		}
+		if b := o.batch; b != nil {
+			o.batch = nil
+			o.stored = append(o.stored, b.Results...)
+			o.step.Stored()
+		}
+		if o.step.Done() {
+			break
+		}
+	}
+	o.check(t)
+	if len(o.stored) != len(o.spec.Samples) {
+		t.Fatalf("%d of %d results, %+v", len(o.stored), len(o.spec.Samples), o.step.Progress())
+	}
+}
+
+// TestRefusingEndpointRests: an endpoint that refuses, as one does that loads
+// weights, looks idle; it must not draw every sample again and again.
+func TestRefusingEndpointRests(t *testing.T) {
+	spec := Spec{MinVersion: 1, MaxFailures: 3}
+	const samples = 40
+	for i := range samples {
+		spec.Samples = append(spec.Samples, Sample{ID: fmt.Sprint(i)})
+	}
+	s := New(spec, nil, nil)
+	refusals := 0
+	for now := time.Duration(0); now < time.Second; now += 20 * time.Millisecond {
+		endpoints := []Endpoint{{Name: "loads", Version: 1, Free: 8}, {Name: "busy", Version: 1, Free: 0, Load: 1}}
+		for _, a := range s.Tick(now, endpoints) {
+			refusals++
+			s.Ended(now, a.(Start).Run, Refused)
+		}
+	}
+	// Its eight places, and then one try after each pause.
+	if most := 16; refusals > most {
+		t.Errorf("%d refusals in a second, want at most %d", refusals, most)
+	}
+}
+
+// TestLongestFirst: samples start in order of their estimated length.
+func TestLongestFirst(t *testing.T) {
+	s := New(Spec{MinVersion: 1, Samples: []Sample{{ID: "short", Length: 1}, {ID: "long", Length: 9}, {ID: "middle", Length: 5}}}, nil, nil)
+	var got []string
+	for _, a := range s.Tick(0, []Endpoint{{Name: "a", Version: 1, Free: 2}}) {
+		got = append(got, a.(Start).Sample.ID)
+	}
+	if want := []string{"long", "middle"}; !slices.Equal(got, want) {
+		t.Errorf("started %v, want %v", got, want)
+	}
+}
--- a/durable/step.go
+++ b/durable/step.go
@@ -73,13 +73,17 @@
 	rests map[string]rest
 }
 
-// rest is a pause in the use of an endpoint.
+// rest is a pause in the use of an endpoint. After it one sample is tried, and
+// others only once that one has begun.
 type rest struct {
 	until time.Duration
-	// refusals counts those in a row.
+	// refusals counts those in a row, and trying says that a sample is tried.
 	refusals int
+	trying   bool
 }
 
+func (r rest) closed(now time.Duration) bool { return now < r.until || r.trying }
+
 // New returns a Step with the results that are stored already, in order of
 // position, and what was saved of other samples.
 func New(spec Spec, results []Result, saved []Saved) *Step {
@@ -181,6 +185,7 @@
 		return
 	}
 	delete(s.byRun, p.run)
+	delete(s.rests, p.endpoint)
 	s.cancels = append(s.cancels, Cancel{p.run})
 	p.state = waiting
 }
@@ -220,10 +225,17 @@
 	if now < p.notBefore {
 		return nil
 	}
+	if s.stranded(p, endpoints) {
+		p.events, p.versions = nil, nil
+	}
 	e := s.pick(now, p, endpoints)
 	if e == nil {
 		return nil
 	}
+	if r, ok := s.rests[e.Name]; ok {
+		r.trying = true
+		s.rests[e.Name] = r
+	}
 	e.Free--
 	e.Load += loadOf(e)
 	s.nextRun++
@@ -234,6 +246,22 @@
 	return Start{Run: p.run, Sample: p.Sample, Endpoint: e.Name, After: len(p.events)}
 }
 
+// stranded reports whether no endpoint can go on with a sample's events under
+// their single version, while others could begin it anew.
+func (s *Step) stranded(p *sample, endpoints []Endpoint) bool {
+	if !s.spec.SingleVersion || len(p.versions) == 0 {
+		return false
+	}
+	others := false
+	for _, e := range endpoints {
+		if e.Version == p.versions[0] {
+			return false
+		}
+		others = others || e.Version >= s.spec.MinVersion
+	}
+	return others
+}
+
 // loadOf is what one more stream adds to an endpoint's Load.
 func loadOf(e *Endpoint) float64 {
 	if e.Free < 0 {
@@ -249,7 +277,7 @@
 	bestAvoided := false
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Free <= 0 || !s.takes(p, e.Version) || now < s.rests[e.Name].until {
+		if e.Free <= 0 || !s.takes(p, e.Version) || s.rests[e.Name].closed(now) {
 			continue
 		}
 		avoided := e.Name == p.avoid && now < p.avoidUntil
@@ -301,6 +329,9 @@
 	}
 	delete(s.byRun, run)
 	p.state = waiting
+	if end != Refused {
+		delete(s.rests, p.endpoint)
+	}
 	switch end {
 	case Whole:
 		s.whole(p)
@@ -319,7 +350,6 @@
 		s.rest(now, p.endpoint)
 		s.pause(now, p, refusedPause)
 	case Broken:
-		s.restart(p)
 		s.pause(now, p, lostPause)
 	}
 }
@@ -332,23 +362,12 @@
 	if now < r.until {
 		return
 	}
+	r.trying = false
 	r.until = now + min(restTime<<min(r.refusals, 5), maxRest)
 	r.refusals++
 	s.rests[endpoint] = r
 }
 
-// restart drops the events of a sample that no endpoint may go on with: under
-// a single version it can only begin anew once its version is gone.
-func (s *Step) restart(p *sample) {
-	if s.spec.SingleVersion && p.misses >= maxSingleMisses {
-		p.events, p.versions = nil, nil
-	}
-}
-
-// maxSingleMisses is how often in a row a sample of a single version is tried
-// to go on before it begins anew.
-const maxSingleMisses = 3
-
 func (s *Step) pause(now time.Duration, p *sample, d time.Duration) {
 	p.notBefore = now + min(d<<min(p.misses, 5), maxPause)
 	p.misses++
--- /dev/null
+++ b/internal/fake/fakeplatform/tables.go
@@ -0,0 +1,68 @@
+package fakeplatform
+
+import (
+	"context"
+	"strings"
+
+	"github.com/cumincove/cumincove/infra"
+)
+
+// partsPrefix begins the keys of rows in parts. A part's name holds no slash.
+const partsPrefix = "parts/"
+
+// Tables returns a family of tables whose rows lie beside those of the table.
+func (p *Platform) Tables() infra.Tables { return tables{p.Platform().Table} }
+
+type tables struct{ table infra.Table }
+
+// Part returns the table of a part.
+func (t tables) Part(name string) infra.Table { return part{t.table, partsPrefix + name + "/"} }
+
+// Parts lists the parts that hold rows.
+func (t tables) Parts(ctx context.Context, after string, limit int) ([]string, error) {
+	rows, err := t.table.List(ctx, partsPrefix, "", 1<<20)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, row := range rows {
+		name, _, _ := strings.Cut(strings.TrimPrefix(row.Key, partsPrefix), "/")
+		known := len(names) > 0 && names[len(names)-1] == name
+		if name > after && !known && len(names) < limit {
+			names = append(names, name)
+		}
+	}
+	return names, nil
+}
+
+// part is a part of the table, by a prefix of the keys.
+type part struct {
+	table  infra.Table
+	prefix string
+}
+
+func (p part) Get(ctx context.Context, key string) (infra.Row, error) {
+	row, err := p.table.Get(ctx, p.prefix+key)
+	row.Key = key
+	return row, err
+}
+
+func (p part) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
+	if after != "" {
+		after = p.prefix + after
+	}
+	rows, err := p.table.List(ctx, p.prefix+prefix, after, limit)
+	for i := range rows {
+		rows[i].Key = strings.TrimPrefix(rows[i].Key, p.prefix)
+	}
+	return rows, err
+}
+
+func (p part) Commit(ctx context.Context, ops ...infra.Op) error {
+	own := make([]infra.Op, len(ops))
+	for i, op := range ops {
+		op.Key = p.prefix + op.Key
+		own[i] = op
+	}
+	return p.table.Commit(ctx, own...)
+}
