Usage: reported in time after the holder is cut off; logs never block and are bounded

The test plays the loss at each half second and fails with the old grace.

Logs go through a bounded queue: lines over 200 a second of one kind are dropped and counted, warnings keep their places longer. Served requests are logged with what decided them.

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -46,9 +46,11 @@
 		return err
 	}
 	runtime.GOMAXPROCS(min(s.Limits.Processors, runtime.GOMAXPROCS(0)))
-	log := slog.New(slog.NewJSONHandler(os.Stdout, nil)).With("instance", s.Name)
 	scope, metrics, closer := telemetry.New(s.Name)
 	defer closer.Close()
+	log, logCloser := telemetry.NewLog(os.Stdout, scope)
+	defer logCloser.Close()
+	log = log.With("instance", s.Name)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go followReloads(ctx, notifyHangup(), file, s, log)
--- a/controller/usage/seal.go
+++ b/controller/usage/seal.go
@@ -24,7 +24,7 @@
 	}
 	// A new term may follow an outage. Let the instances write what they have
 	// first, or it will be late.
-	if time.Since(c.since) < time.Duration(c.cfg.Grace)*time.Second {
+	if time.Since(c.since) < 2*c.o.Flush {
 		return
 	}
 	c.sealer.Wake()
--- /dev/null
+++ b/controller/usage/takeover_test.go
@@ -0,0 +1,42 @@
+package usage_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
+)
+
+// TestReportsInTimeAfterTheHolderIsCutOff: whenever the holder of the duty loses
+// the store for good, each window is reported within the time for it.
+func TestReportsInTimeAfterTheHolderIsCutOff(t *testing.T) {
+	const length, due = 5 * time.Second, 10 * time.Second
+	o := timing{lease: 3 * time.Second, window: length, flush: time.Second, grace: 3 * time.Second}
+	for offset := time.Duration(0); offset < length; offset += 500 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			fake := fakeplatform.New(fakeplatform.Options{})
+			a, b := startWith(t, fake, 0, o), startWith(t, fake, 1, o)
+			defer b.stop()
+			defer a.stop()
+			time.Sleep(4*length + offset)
+			holder := a
+			if n := fake.Record().Reports; len(n) == 0 || n[len(n)-1].Holder != "i0" {
+				holder = b
+			}
+			holder.off.Store(true)
+			reported := map[int64]bool{}
+			for range 60 {
+				time.Sleep(500 * time.Millisecond)
+				for _, r := range fake.Record().Reports {
+					reported[r.Window] = true
+				}
+				last := time.Now().Add(-due - length)
+				w := last.Unix() - last.Unix()%int64(length/time.Second)
+				if !reported[w] {
+					t.Fatalf("holder lost at %v: window %d is not reported %v after its end", offset, w, due)
+				}
+			}
+		})
+	}
+}
--- a/controller/usage/usage_test.go
+++ b/controller/usage/usage_test.go
@@ -49,7 +49,14 @@
 	return c.Table.Commit(ctx, ops...)
 }
 
+// timing holds the periods of an instance.
+type timing struct{ lease, window, flush, grace time.Duration }
+
 func start(t *testing.T, fake *fakeplatform.Platform, i int, flush time.Duration) *instance {
+	return startWith(t, fake, i, timing{lease: 5 * time.Second, window: time.Minute, flush: flush})
+}
+
+func startWith(t *testing.T, fake *fakeplatform.Platform, i int, o timing) *instance {
 	p := fake.Platform()
 	in := &instance{}
 	p.Table = &cut{Table: p.Table, off: &in.off}
@@ -58,11 +65,11 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	keeper := leases.NewKeeper(leases.Options{
 		Table: p.Table, Clock: clock.NewMonotonic(), Holder: name, Incarnation: 1,
-		Duration: 5 * time.Second, Log: log,
+		Duration: o.lease, Log: log,
 	}, views)
 	c := usage.New(usage.Options{
 		Table: p.Table, Reports: p.Usage, Keeper: keeper, Holder: name, Incarnation: 1,
-		Log: log, Metrics: tally.NoopScope, Window: time.Minute, Flush: flush,
+		Log: log, Metrics: tally.NoopScope, Window: o.window, Flush: o.flush, Grace: o.grace,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -181,6 +181,8 @@
 			return exhausted(err, why)
 		}
 		t.a.Scope.Counter("retries").Inc(1)
+		t.r.Logger().Info("attempt failed", "service", t.r.Service.Name, "endpoint", t.last,
+			"attempt", t.rec.Attempts(), "outcome", t.rec.Outcome().String(), "error", err)
 		if t.moved != nil {
 			continue // the next place is there, and the budget was asked
 		}
@@ -236,6 +238,7 @@
 	}
 	fresh := t.rec.Attempts() > 1
 	t.last = slot.Endpoint.Name
+	t.r.Trail = Trail{Attempts: t.rec.Attempts(), Endpoint: t.last, Waited: t.a.Clock.Now() - t.r.Arrived}
 	answer, err := t.a.Pool.Do(t.ctx, t.call(slot, fresh))
 	if err != nil {
 		t.suspect(slot, err, false)
@@ -243,6 +246,7 @@
 		return t.mendable(err), err
 	}
 	defer answer.Close()
+	t.r.Trail.Status = answer.Status
 	t.began(slot)
 	if bytes, ok := answer.CachedPrompt(); ok {
 		slot.Cached(bytes)
--- a/filter/entry.go
+++ b/filter/entry.go
@@ -36,6 +36,9 @@
 	// Arrive, if set, reads the request's ID and how long its caller waits.
 	// An empty ID or a time of zero stands for this system's own.
 	Arrive func(r *http.Request) (id string, wait time.Duration)
+	// Age, if set, returns the age of the configuration. Requests that are served
+	// are logged as well then.
+	Age func(now time.Duration) (age time.Duration, known bool)
 	// Refuse, if set, answers a request that failed in place of WriteError.
 	Refuse func(w http.ResponseWriter, r *Request, err error)
 
@@ -105,9 +108,33 @@
 	n := code.OK
 	if err != nil {
 		n = asCode(err).Number
-		r.Logger().Info("request failed", "service", r.Service.Name, "error", err)
 	}
 	e.counter(n).Inc(1)
+	switch {
+	case e.Age != nil:
+		e.logTrail(r, n, err)
+	case err != nil:
+		r.Logger().Info("request failed", "service", r.Service.Name, "error", err)
+	}
+}
+
+// logTrail logs what became of a request and what decided it.
+func (e *Entry) logTrail(r *Request, n code.Number, err error) {
+	now := e.Clock.Now()
+	age, known := e.Age(now)
+	if !known {
+		age = -1
+	}
+	e.Scope.Tagged(map[string]string{"kind": string(r.Route.Kind)}).Timer("request").Record(now - r.Arrived)
+	log := r.Logger().With("route", r.Route.Name, "service", r.Service.Name,
+		"config", r.View.Config.Version, "config_age", age, "endpoint", r.Trail.Endpoint,
+		"attempts", r.Trail.Attempts, "status", r.Trail.Status, "waited", r.Trail.Waited,
+		"took", now-r.Arrived, "code", int(n))
+	if err != nil {
+		log.Info("request failed", "effect", asCode(err).Info().Effect, "error", err)
+		return
+	}
+	log.Info("request served")
 }
 
 // counter returns the counter of the requests that ended with a code.
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -39,10 +39,24 @@
 	// HandOverBy is the boot time after which the request must not be handed
 	// over to an endpoint any more; zero means that only Deadline counts.
 	HandOverBy time.Duration
+	// Trail is what became of the request, for logs.
+	Trail Trail
 	// Log is the instance's log; Logger adds the request to it.
 	Log *slog.Logger
 }
 
+// Trail says where a request went.
+type Trail struct {
+	// Attempts is the number of attempts that were begun, and Endpoint that of
+	// the last one.
+	Attempts int
+	Endpoint string
+	// Status is that of the endpoint's answer, and Waited the time until the
+	// last attempt had its place.
+	Status int
+	Waited time.Duration
+}
+
 // Logger returns the log with what is known of the request. It is made when
 // there is something to log, since most requests log nothing.
 func (r *Request) Logger() *slog.Logger {
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -52,6 +52,7 @@
 		Chain:       chain,
 		Arrive:      m.d.Adapter.Arrive,
 		Refuse:      m.d.Adapter.Refuse,
+		Age:         m.intent.Age,
 	}
 }
 
--- /dev/null
+++ b/internal/telemetry/log_test.go
@@ -0,0 +1,85 @@
+package telemetry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/cumincove/cumincove/internal/telemetry"
+)
+
+// stuck is an output that nobody reads.
+type stuck struct{ block chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.block
+	return len(p), nil
+}
+
+// TestLogNeverBlocks: with an output that nobody reads, lines are dropped.
+func TestLogNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := stuck{make(chan struct{})}
+		log, closer := telemetry.NewLog(s, tally.NoopScope)
+		began := time.Now()
+		for range 100_000 {
+			log.Error("oops")
+			log.Info("fine")
+		}
+		if took := time.Since(began); took != 0 {
+			t.Errorf("logging took %v", took)
+		}
+		if err := closer.Close(); err != nil {
+			t.Error(err)
+		}
+		close(s.block)
+		synctest.Wait()
+	})
+}
+
+// TestLogBoundsKinds: a kind that comes too often does not push out others, and
+// what was dropped is told.
+func TestLogBoundsKinds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log, closer := telemetry.NewLog(&out, tally.NoopScope)
+		for range 1000 {
+			log.Info("often")
+		}
+		log.With("step", "s1").Info("seldom")
+		time.Sleep(2 * time.Second)
+		if err := closer.Close(); err != nil {
+			t.Fatal(err)
+		}
+		counts := map[string]int{}
+		for line := range strings.Lines(out.String()) {
+			var l struct {
+				Msg   string         `json:"msg"`
+				Kinds map[string]int `json:"kinds"`
+			}
+			if err := json.Unmarshal([]byte(line), &l); err != nil {
+				t.Fatalf("%q: %v", line, err)
+			}
+			counts[l.Msg]++
+			counts["dropped"] += l.Kinds["often"]
+		}
+		if counts["often"] != 200 || counts["seldom"] != 1 || counts["dropped"] != 800 {
+			t.Errorf("lines %v", counts)
+		}
+	})
+}
+
+// BenchmarkLog measures a line of a request.
+func BenchmarkLog(b *testing.B) {
+	log, closer := telemetry.NewLog(io.Discard, tally.NoopScope)
+	defer closer.Close()
+	for b.Loop() {
+		log.Info("request served", "request", "9c41d07be2a35f68", "team", "wells", "service", "app", "endpoint", "i-1", "took", time.Millisecond)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -171,7 +171,7 @@
 			StorePoll:     config.Duration(500 * time.Millisecond),
 			UsageWindow:   config.Duration(time.Minute),
 			UsageFlush:    config.Duration(2 * time.Second),
-			UsageGrace:    config.Duration(5 * time.Second),
+			UsageGrace:    config.Duration(3 * time.Second),
 			MemberPeriod:  config.Duration(time.Second),
 			MemberLapse:   config.Duration(4 * time.Second),
 			Shutdown:      config.Duration(4500 * time.Millisecond),
