--- a/controller/intent/controller.go
+++ b/controller/intent/controller.go
@@ -36,6 +36,8 @@
 	Poll time.Duration
 	// Freshness is how long a read counts.
 	Freshness time.Duration
+	// Regained, if set, is called when the store answers again.
+	Regained func()
 }
 
 // Controller reads the intent and the endpoints, each once a period.
@@ -127,6 +129,9 @@
 		return
 	}
 	c.o.Log.Info("store regained", "reads", what)
+	if c.o.Regained != nil {
+		c.o.Regained()
+	}
 }
 
 func (c *Controller) readIntent(ctx context.Context) error {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -142,6 +142,7 @@
 		"usage":   newUsage(app),
 		"steps":   newSteps(app),
 		"explain": newExplain(app),
+		"trace":   newTrace(app),
 	}
 	key := app.Command("key", "Grants and withdraws keys.")
 	commands["key create"] = newKeyCreate(key)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -168,3 +168,29 @@
 	}
 	c.wants(c.run(ctl.ExitOK, "status"), "PAID FOR", "FORECAST/H", "ALL INSTANCES HEARD")
 }
+
+// TestTrace: lines of several logs about one step, in order of time, and nothing
+// else. Collectors may put text before a line.
+func TestTrace(t *testing.T) {
+	dir := t.TempDir()
+	logs := []string{
+		`{"time":"2026-07-16T17:19:05.303Z","level":"INFO","msg":"step taken over","instance":"b-3","step":"s1","from":"c-1","took":51287240}` + "\n" +
+			`{"time":"2026-07-16T17:19:05.400Z","level":"INFO","msg":"step taken over","instance":"b-3","step":"s10","from":"c-1"}` + "\nno JSON s1\n",
+		`  4.02 c-1 {"time":"2026-07-16T17:19:05.198Z","level":"INFO","msg":"step accepted","instance":"c-1","step":"s1","samples":32}` + "\n",
+	}
+	args := []string{"trace", "s1"}
+	for i, text := range logs {
+		name := filepath.Join(dir, string(rune('a'+i)))
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		args = append(args, name)
+	}
+	got := tool{T: t}.run(ctl.ExitOK, args...)
+	want := `17:19:05.198    +0.000s INFO  c-1: step accepted samples=32 step="s1"
+17:19:05.303    +0.105s INFO  b-3: step taken over from="c-1" step="s1" took=51.287ms
+`
+	if got != want {
+		t.Errorf("got\n%s\nwant\n%s", got, want)
+	}
+}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -109,6 +109,7 @@
 		Operator: deps.Platform.Operator, Replicas: deps.Platform.Replicas,
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Poll: time.Duration(s.Timing.StorePoll), Freshness: time.Duration(s.Timing.Freshness),
+		Regained: func() { m.presence.Urge() },
 	})
 	m.presence = presence.New(presence.Options{
 		Table: deps.Platform.Table, Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
