--- a/internal/daemon/bounds.go
+++ b/internal/daemon/bounds.go
@@ -20,8 +20,6 @@
 	// headerSlack is by how much a header may be over the limit and still be
 	// answered with a code, as a factor. Beyond it net/http answers by itself.
 	headerSlack = 4
-	// fieldOverhead is what a header field takes besides name and value.
-	fieldOverhead = len(": \r\n")
 )
 
 // boundedListener bounds the connections that are open at a time.
@@ -78,7 +76,7 @@
 		case r.Context().Value(surplusKey{}) != nil:
 			w.Header().Set("Connection", "close")
 			filter.WriteError(w, "", code.New(code.TooManyConns, ""))
-		case headerBytes(r) > maxHeader:
+		case filter.HeaderBytes(r) > maxHeader:
 			w.Header().Set("Connection", "close")
 			filter.WriteError(w, "", code.New(code.HeaderTooLarge, "limit %d bytes", maxHeader))
 		default:
@@ -95,14 +93,3 @@
 		h.ServeHTTP(w, r)
 	})
 }
-
-// headerBytes is the size of a request's header, request line included.
-func headerBytes(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + fieldOverhead
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + fieldOverhead
-		}
-	}
-	return n
-}
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -28,6 +28,7 @@
 	})
 	return m.entry(filter.Chain(last,
 		m.admission(),
+		filter.Limits{},
 		filter.Route{},
 		m.fresh(),
 		filter.Identify{},
@@ -38,7 +39,7 @@
 
 // keyed serves a call of the system's own that needs a key.
 func (m *Managed) keyed(h filter.HandlerFunc) http.Handler {
-	return m.entry(filter.Chain(h, m.admission(), m.fresh(), filter.Identify{}, m.body()))
+	return m.entry(filter.Chain(h, m.admission(), filter.Limits{}, m.fresh(), filter.Identify{}, m.body()))
 }
 
 func (m *Managed) entry(chain filter.Handler) http.Handler {
