Steps: what ran for an ended step ends; loads in proportion to the engines; faults tried elsewhere

- A runner waited for its loops before it ended their context: each ended step went on being read for ever (TestEndedStepsAreForgotten fails without).
- An idempotent request that an endpoint answered with a fault of its own is tried elsewhere; a scoring call is not, its failures are counted.
- settings: limits.memory_mb is the runtime's memory limit.

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -40,12 +41,19 @@
 	app.FatalIfError(err, "%s", *file)
 }
 
+// memoryShare is the part of the process's memory, in percent, that the runtime
+// tries to stay within; the rest is for buffers outside of it.
+const memoryShare = 70
+
 func serve(file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(min(s.Limits.Processors, runtime.GOMAXPROCS(0)))
+	if mb := s.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * memoryShare / 100)
+	}
 	scope, metrics, closer := telemetry.New(s.Name)
 	defer closer.Close()
 	log, logCloser := telemetry.NewLog(os.Stdout, scope)
--- a/controller/models/controller.go
+++ b/controller/models/controller.go
@@ -23,8 +23,11 @@
 	lookPeriod = 100 * time.Millisecond
 	// demandPeriod is the time between two reads of the demand.
 	demandPeriod = time.Second
-	// atOnce is how many engines load at a time: more slow each other down.
-	atOnce = 2
+	// leastAtOnce is how many engines may load at a time in any case, and
+	// loadShare the part of all engines that may, as a divisor: more slow each
+	// other down, and engines that load refuse samples.
+	leastAtOnce = 2
+	loadShare   = 8
 	// settleTime is how long an accepted order may take to show before the
 	// engine is asked again.
 	settleTime = 4 * time.Second
@@ -126,7 +129,9 @@
 		c.o.Hurry()
 	}
 	goal := Goal{Named: c.o.Named(), Demand: c.demand}
-	for _, load := range Plan(enginesOf(v), goal) {
+	engines := enginesOf(v)
+	atOnce := max(len(engines)/loadShare, leastAtOnce)
+	for _, load := range Plan(engines, goal) {
 		if loading >= atOnce {
 			return
 		}
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -22,7 +22,7 @@
 	// batchDelay lets further results join those that are to be stored.
 	batchDelay = 25 * time.Millisecond
 	// checkPeriod is the time between two reads of a step's state.
-	checkPeriod = 500 * time.Millisecond
+	checkPeriod = 250 * time.Millisecond
 	// savePeriod is the time between two writes of unfinished samples, and
 	// saveEvents the least number of new events of a sample that is saved.
 	savePeriod = time.Second
@@ -77,13 +77,13 @@
 // run works until the step is done, ended, or owned by another instance.
 func (r *runner) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
-	defer close(r.done)
-	defer cancel()
 	r.mu.Lock()
 	r.over = cancel
 	r.mu.Unlock()
 	var wg sync.WaitGroup
+	defer close(r.done)
 	defer wg.Wait()
+	defer cancel() // before the wait for what it ends
 	defer r.cancelStreams()
 	wg.Go(func() { r.storeLoop(ctx) })
 	wg.Go(func() { r.checkLoop(ctx) })
--- a/controller/steps/steps_test.go
+++ b/controller/steps/steps_test.go
@@ -299,6 +299,25 @@
 	})
 }
 
+// TestEndedStepsAreForgotten: nothing of a step goes on after its end.
+func TestEndedStepsAreForgotten(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a")
+		defer w.stopAll()
+		a := w.instances["a"]
+		w.mustAccept(a, spec("done", 1))
+		w.mustRead(a, "done", 1, time.Minute)
+		w.mustAccept(a, spec("ended", 9))
+		if err := a.End(t.Context(), "ended", team); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if n := a.Open(); n != 0 {
+			t.Errorf("%d steps still run", n)
+		}
+	})
+}
+
 // TestEndElsewhere: no sample starts at the owner soon after another instance
 // took the end.
 func TestEndElsewhere(t *testing.T) {
@@ -339,10 +358,17 @@
 		w.mustAccept(w.instances["a"], spec("s", samples))
 		time.Sleep(eventPeriod*eventCount + 2*time.Second)
 		before := w.read(w.instances["b"], "s", samples, time.Second)
-		w.instances["a"].table.down.Store(true)
-		w.instances["a"].stop()
-		w.setMembers([]string{"b", "c"}, nil)
-		after := w.mustRead(w.instances["c"], "s", samples, time.Minute)
+		var left []string
+		for name, in := range w.instances {
+			if in.Open() == 0 {
+				left = append(left, name)
+				continue
+			}
+			in.table.down.Store(true)
+			in.stop()
+		}
+		w.setMembers(left, nil)
+		after := w.mustRead(w.instances[left[0]], "s", samples, time.Minute)
 		if len(before) == 0 || len(before) == samples {
 			t.Fatalf("%d results before the death", len(before))
 		}
@@ -372,11 +398,12 @@
 		const samples = 12
 		w.mustAccept(w.instances["a"], spec("s", samples))
 		time.Sleep(time.Second)
-		w.instances["a"].table.down.Store(true)
-		w.setMembers([]string{"b"}, nil)
+		owner, other := w.owner(t)
+		owner.table.down.Store(true)
+		w.setMembers([]string{other.name}, nil)
 		time.Sleep(2 * time.Second)
-		w.instances["a"].table.down.Store(false)
-		w.mustRead(w.instances["b"], "s", samples, time.Minute)
+		owner.table.down.Store(false)
+		w.mustRead(other, "s", samples, time.Minute)
 	})
 }
 
@@ -390,14 +417,15 @@
 		const samples = 4
 		w.mustAccept(w.instances["a"], spec("s", samples))
 		time.Sleep(time.Second)
-		w.instances["a"].table.down.Store(true)
-		w.setMembers([]string{"b"}, []string{"a"})
+		owner, other := w.owner(t)
+		owner.table.down.Store(true)
+		w.setMembers([]string{other.name}, []string{owner.name})
 		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 		defer cancel()
-		time.AfterFunc(time.Second, func() { w.instances["a"].table.down.Store(false) })
-		w.instances["a"].HandOver(ctx)
-		wantCode(t, w.accept(w.instances["a"], spec("other", 1)), code.Draining)
-		w.mustRead(w.instances["b"], "s", samples, eventPeriod*eventCount)
+		time.AfterFunc(time.Second, func() { owner.table.down.Store(false) })
+		owner.HandOver(ctx)
+		wantCode(t, w.accept(owner, spec("other", 1)), code.Draining)
+		w.mustRead(other, "s", samples, eventPeriod*eventCount)
 	})
 }
 
@@ -469,3 +497,19 @@
 		w.mustRead(w.instances["b"], "s", 40, 2*time.Minute)
 	})
 }
+
+// owner returns the one of two instances that runs steps, and the other.
+func (w *world) owner(t *testing.T) (owner, other *instance) {
+	t.Helper()
+	for _, in := range w.instances {
+		if in.Open() > 0 {
+			owner = in
+		} else {
+			other = in
+		}
+	}
+	if owner == nil || other == nil {
+		t.Fatal("not one of two instances runs the steps")
+	}
+	return owner, other
+}
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -65,9 +65,11 @@
 	Score    string   `json:"score,omitempty"`
 }
 
-// Saved is what is known of a sample that has no result yet.
+// Saved is what has come of a sample.
 type Saved struct {
-	ID       string   `json:"id"`
+	ID string `json:"id"`
+	// Whole says that the last event came.
+	Whole    bool     `json:"whole,omitempty"`
 	Events   []string `json:"events"`
 	Versions []uint64 `json:"versions"`
 }
--- a/durable/step.go
+++ b/durable/step.go
@@ -37,8 +37,9 @@
 	events   []string
 	versions []uint64
 	score    string
-	// unreachable samples get a result without a text.
-	unreachable bool
+	// unreachable samples get a result without a text; complete ones have a
+	// whole one.
+	unreachable, complete bool
 	// failures counts the engine's failures and misses the streams that ended
 	// early, in a row; scoreFailures and scoreMisses count the calls.
 	failures, misses           int
@@ -119,6 +120,9 @@
 	p.events = slices.Clone(v.Events)
 	p.versions = slices.Clone(v.Versions)
 	p.savedEvents = len(p.events)
+	if v.Whole {
+		s.whole(p)
+	}
 }
 
 // Spec returns the step's Spec.
@@ -377,6 +381,7 @@
 
 // whole goes on with a sample whose text is whole.
 func (s *Step) whole(p *sample) {
+	p.complete = true
 	if p.Scorer == nil {
 		s.done(p)
 		return
@@ -474,7 +479,7 @@
 		if p.state == listed || len(p.events)-p.savedEvents < least || len(p.events) == 0 {
 			continue
 		}
-		list = append(list, Saved{ID: p.ID, Events: slices.Clone(p.events), Versions: slices.Clone(p.versions)})
+		list = append(list, Saved{ID: p.ID, Whole: p.complete, Events: slices.Clone(p.events), Versions: slices.Clone(p.versions)})
 	}
 	return list
 }
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -51,6 +51,9 @@
 	// Ran, if set, is told of each attempt that an endpoint has begun to run, or
 	// may have, and when it was handed over.
 	Ran func(r *Request, at time.Time)
+	// RetryFaults has idempotent requests tried elsewhere that an endpoint
+	// answered with a fault of its own.
+	RetryFaults bool
 	// KeepID sends the request's own ID with every attempt.
 	KeepID bool
 
--- a/filter/pass.go
+++ b/filter/pass.go
@@ -35,7 +35,7 @@
 	case answer.Refused():
 		t.end(slot, outcome.Refused, place)
 		return true, code.New(code.EndpointRefused, "endpoint %s: status %d, not run", slot.Endpoint.Name, answer.Status)
-	case busy(answer.Status) && t.r.Service.Idempotent && t.mayTryAgain():
+	case t.mendableElsewhere(answer.Status) && t.r.Service.Idempotent && t.mayTryAgain():
 		t.end(slot, outcome.Failed, place)
 		return true, code.New(code.EndpointLost, "endpoint %s: status %d", slot.Endpoint.Name, answer.Status)
 	}
@@ -55,6 +55,12 @@
 	return dispatch.Answered
 }
 
+// mendableElsewhere reports whether another endpoint may do better than one that
+// answered with the status.
+func (t *try) mendableElsewhere(status int) bool {
+	return busy(status) || t.a.RetryFaults && status == http.StatusInternalServerError
+}
+
 // busy reports whether a status says that the endpoint can't serve now.
 func busy(status int) bool {
 	switch status {
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -80,6 +80,7 @@
 	if began == nil {
 		return a
 	}
+	a.RetryFaults = true
 	a.Ran = func(r *filter.Request, at time.Time) {
 		if r.Team != "" {
 			began(r.Team, at)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -112,6 +112,10 @@
 	// one more takes memory, and processor time while little happens. More than
 	// the machine has count as all of them.
 	Processors int `json:"processors" unit:"processors" min:"1" max:"1024"`
+	// MemoryMB is the memory that the process may use, in MB. The program
+	// collects garbage harder as it comes near it. Zero means that no bound is
+	// known.
+	MemoryMB int `json:"memory_mb,omitempty" unit:"MB" min:"0" max:"1048576"`
 }
 
 // Timing holds the periods and bounds of the coordination parts.
