--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -244,10 +244,18 @@
 	if err != nil {
 		return err
 	}
+	defer d.closeIdle()
+	return runUntil(ctx, d.runners(), servers, func(failed context.Context) { d.shutdown(failed, servers) })
+}
+
+// runUntil runs loops and servers until ctx ends or one of them fails, then
+// calls shutdown, with a context that has ended if one failed, and at last ends
+// the loops.
+func runUntil(ctx context.Context, runners []runner, servers []*server, shutdown func(failed context.Context)) error {
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	g, gctx := errgroup.WithContext(work)
-	for _, r := range d.runners() {
+	for _, r := range runners {
 		g.Go(func() error { return r.Run(gctx) })
 	}
 	for _, s := range servers {
@@ -258,11 +266,10 @@
 		case <-ctx.Done():
 		case <-gctx.Done():
 		}
-		d.shutdown(gctx, servers)
+		shutdown(gctx)
 		stopWork()
 		return nil
 	})
-	defer d.closeIdle()
 	return g.Wait()
 }
 
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/entries"
+	"github.com/cumincove/cumincove/view"
 )
 
 const (
@@ -49,18 +50,23 @@
 }
 
 func (d *Daemon) rankEntries(dataCentre string) []entries.Instance {
+	return rankEntries(d.views.Load(), d.d.Settings.Name, d.leaving.Load(), dataCentre, d.entryCount.Add(1))
+}
+
+// rankEntries ranks the members for the nth caller that asks an instance, which
+// may be leaving itself.
+func rankEntries(v *view.View, self string, leaving bool, dataCentre string, n uint64) []entries.Instance {
 	var list []entries.Instance
-	for _, m := range sortedMembers(d.views.Load()) {
-		own := m.Name == d.d.Settings.Name
+	for _, m := range sortedMembers(v) {
 		list = append(list, entries.Instance{
 			Name: m.Name, DataCentre: m.DataCentre, Addr: m.CallerAddr,
-			InFlight: m.InFlight, Leaving: m.Leaving || own && d.leaving.Load(),
+			InFlight: m.InFlight, Leaving: m.Leaving || m.Name == self && leaving,
 		})
 	}
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(d.d.Settings.Name)) // never fails
+	_, _ = h.Write([]byte(self)) // never fails
 	start := float64(h.Sum32()) / (1 << 32)
-	return entries.Rank(list, dataCentre, entries.Point(start, d.entryCount.Add(1)))
+	return entries.Rank(list, dataCentre, entries.Point(start, n))
 }
 
 // elsewhere returns addresses of other instances, for callers refused here.
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -10,6 +10,7 @@
 
 	"github.com/cumincove/cumincove/attempt"
 	"github.com/cumincove/cumincove/internal/tlsfile"
+	"github.com/cumincove/cumincove/settings"
 )
 
 // Names of protocols in TLS handshakes.
@@ -43,14 +44,7 @@
 		if p.maxConns > 0 {
 			ln = &boundedListener{Listener: ln, max: int64(p.maxConns)}
 		}
-		hs := &http.Server{
-			Handler:           bounded(p.h, limits.HeaderBytes),
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       callerIdleTimeout,
-			MaxHeaderBytes:    limits.HeaderBytes * headerSlack,
-			ConnContext:       connContext,
-			ErrorLog:          slog.NewLogLogger(d.d.Log.Handler(), slog.LevelDebug),
-		}
+		hs := httpServer(bounded(p.h, limits.HeaderBytes), limits, d.d.Log)
 		if len(p.protocols) > 0 {
 			hs.Protocols = allProtocols()
 		}
@@ -61,6 +55,18 @@
 	return servers, nil
 }
 
+// httpServer returns a server that bounds what it takes.
+func httpServer(h http.Handler, limits settings.Limits, log *slog.Logger) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    limits.HeaderBytes * headerSlack,
+		ConnContext:       connContext,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+}
+
 // allProtocols is HTTP/1.1 and HTTP/2, with and without TLS.
 func allProtocols() *http.Protocols {
 	p := &http.Protocols{}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -25,7 +25,6 @@
 	"github.com/cumincove/cumincove/settings"
 	"github.com/cumincove/cumincove/view"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/errgroup"
 )
 
 // Adapter translates between a managed platform's callers and this program.
@@ -196,25 +195,7 @@
 		return err
 	}
 	m.d.Log.Info("started", "incarnation", m.incarnation, "callers", m.d.Settings.Listen.Callers)
-	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopWork()
-	g, gctx := errgroup.WithContext(work)
-	for _, r := range m.runners() {
-		g.Go(func() error { return r.Run(gctx) })
-	}
-	for _, s := range servers {
-		g.Go(s.serve)
-	}
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-gctx.Done():
-		}
-		m.shutdown(gctx, servers)
-		stopWork()
-		return nil
-	})
-	err = g.Wait()
+	err = runUntil(ctx, m.runners(), servers, func(failed context.Context) { m.shutdown(failed, servers) })
 	m.d.Log.Info("stopped", "error", err)
 	return err
 }
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -53,15 +52,7 @@
 		if p.maxConns > 0 {
 			ln = &boundedListener{Listener: ln, max: int64(p.maxConns)}
 		}
-		hs := &http.Server{
-			Handler:           p.h,
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       callerIdleTimeout,
-			MaxHeaderBytes:    limits.HeaderBytes * headerSlack,
-			ConnContext:       connContext,
-			ErrorLog:          slog.NewLogLogger(m.d.Log.Handler(), slog.LevelDebug),
-		}
-		s := newServer(p.name, ln, hs)
+		s := newServer(p.name, ln, httpServer(p.h, limits, m.d.Log))
 		s.refuses = p.refuses
 		servers = append(servers, s)
 	}
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"hash/fnv"
 	"net/http"
 	"time"
 
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/durable"
-	"github.com/cumincove/cumincove/entries"
 	"github.com/cumincove/cumincove/filter"
 	"github.com/cumincove/cumincove/view"
 )
@@ -152,19 +150,8 @@
 
 // addresses lists the callers' addresses of instances, best first.
 func (m *Managed) addresses(dataCentre string, most int) []string {
-	var list []entries.Instance
-	for _, member := range sortedMembers(m.views.Load()) {
-		own := member.Name == m.d.Settings.Name
-		list = append(list, entries.Instance{
-			Name: member.Name, DataCentre: member.DataCentre, Addr: member.CallerAddr,
-			InFlight: member.InFlight, Leaving: member.Leaving || own && m.leaving.Load(),
-		})
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(m.d.Settings.Name)) // never fails
-	start := float64(h.Sum32()) / (1 << 32)
 	var addrs []string
-	for _, in := range entries.Rank(list, dataCentre, entries.Point(start, m.entryCount.Add(1))) {
+	for _, in := range rankEntries(m.views.Load(), m.d.Settings.Name, m.leaving.Load(), dataCentre, m.entryCount.Add(1)) {
 		if len(addrs) < most {
 			addrs = append(addrs, in.Addr)
 		}
