Steps: readers that wait for a slow store hold up nobody else

TestSlowReads plays it; with the locks before it never ended in fake time (10 minutes). A reader now waits for its turn by a channel, and no longer than its caller.

--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -217,7 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if v := c.views[id]; v != nil {
-		v.ended = true
+		v.ended.Store(true)
 	}
 	return nil
 }
--- a/controller/steps/reader.go
+++ b/controller/steps/reader.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cumincove/cumincove/code"
@@ -21,11 +21,22 @@
 // stepView is what was read of a step. Results never change, so those that were
 // read stay good.
 type stepView struct {
-	mu      sync.Mutex
-	head    head
-	ended   bool
+	head  head
+	ended atomic.Bool
+	// usedAt is the boot time of the last use.
+	usedAt atomic.Int64
+
+	// turn holds a token while nobody reads the store, so that one read serves
+	// all who wait. Who has it may use results.
+	turn    chan struct{}
 	results []durable.Result
-	usedAt  time.Duration
+}
+
+func newStepView(s state) *stepView {
+	v := &stepView{head: s.head, turn: make(chan struct{}, 1)}
+	v.turn <- struct{}{}
+	v.ended.Store(s.ended)
+	return v
 }
 
 // Results is an answer to a read.
@@ -44,10 +55,8 @@
 	v := c.views[id]
 	c.mu.Unlock()
 	if v != nil {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.usedAt = c.o.Clock.Now()
-		return state{head: v.head, headVersion: 1, ended: v.ended}, sameTeam(v.head, team)
+		v.usedAt.Store(int64(c.o.Clock.Now()))
+		return state{head: v.head, headVersion: 1, ended: v.ended.Load()}, sameTeam(v.head, team)
 	}
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -64,8 +73,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.views[id] == nil {
-		c.views[id] = &stepView{head: s.head, ended: s.ended, usedAt: c.o.Clock.Now()}
+		c.views[id] = newStepView(s)
 	}
+	c.views[id].usedAt.Store(int64(c.o.Clock.Now()))
 	return s, nil
 }
 
@@ -134,9 +144,13 @@
 			return list, nil
 		}
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.usedAt = c.o.Clock.Now()
+	v.usedAt.Store(int64(c.o.Clock.Now()))
+	select {
+	case <-v.turn:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { v.turn <- struct{}{} }()
 	if from < len(v.results) || len(v.results) >= total {
 		return v.results[min(from, len(v.results)):], nil
 	}
@@ -196,10 +210,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, v := range c.views {
-		v.mu.Lock()
-		if now-v.usedAt > viewTime {
+		if now-time.Duration(v.usedAt.Load()) > viewTime {
 			delete(c.views, id)
 		}
-		v.mu.Unlock()
 	}
 }
--- a/controller/steps/steps_test.go
+++ b/controller/steps/steps_test.go
@@ -84,6 +84,8 @@
 type faulty struct {
 	infra.Tables
 	down atomic.Bool
+	// slow is how long reads take, in nanoseconds.
+	slow atomic.Int64
 	// late, if set, is called with each transaction in place of its execution.
 	late atomic.Pointer[func(commit func()) error]
 }
@@ -106,6 +108,7 @@
 	if p.f.down.Load() {
 		return nil, infra.ErrUnavailable
 	}
+	time.Sleep(time.Duration(p.f.slow.Load()))
 	return p.Table.List(ctx, prefix, after, limit)
 }
 
@@ -477,6 +480,34 @@
 	}
 }
 
+// TestSlowReads: readers that wait for a slow store hold up nobody else.
+func TestSlowReads(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newWorld(t, "a", "b")
+		defer w.stopAll()
+		b := w.instances["b"]
+		w.mustAccept(w.instances["a"], spec("s", 2))
+		if _, err := b.Read(t.Context(), "s", team, 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		b.table.slow.Store(int64(1500 * time.Millisecond))
+		for range 3 {
+			go func() { _, _ = b.Read(t.Context(), "s", team, 0, time.Minute) }()
+		}
+		for range 5 {
+			time.Sleep(700 * time.Millisecond)
+			began := time.Now()
+			b.Open()
+			w.mustAccept(b, spec(fmt.Sprint("s", began.UnixNano()), 1))
+			if took := time.Since(began); took > 100*time.Millisecond {
+				t.Errorf("a step was accepted after %v", took)
+			}
+		}
+		b.table.slow.Store(0)
+		w.mustRead(b, "s", 2, time.Minute)
+	})
+}
+
 // TestLargeStep: a step over many rows and transactions comes back whole, as do
 // long texts.
 func TestLargeStep(t *testing.T) {
