--- /dev/null
+++ b/controller/steps/runner_store.go
@@ -0,0 +1,211 @@
+package steps
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/effect"
+	"github.com/cumincove/cumincove/infra"
+)
+
+const (
+	// batchDelay lets further results join those that are to be stored.
+	batchDelay = 25 * time.Millisecond
+	// savePeriod is the time between two writes of unfinished samples, and
+	// saveEvents the least number of new events of a sample that is saved.
+	savePeriod = time.Second
+	saveEvents = 12
+)
+
+// storeLoop stores results, and now and then what has come of other samples.
+func (r *runner) storeLoop(ctx context.Context) {
+	savedAt := r.c.o.Clock.Now()
+	for sleep(ctx, batchDelay) == nil {
+		r.mu.Lock()
+		b := r.step.Batch()
+		r.mu.Unlock()
+		if b != nil && !r.store(ctx, b) {
+			return
+		}
+		if now := r.c.o.Clock.Now(); now-savedAt > savePeriod {
+			savedAt = now
+			r.save(ctx, saveEvents)
+		}
+	}
+}
+
+// store writes a batch until it is there, and reports whether this instance
+// still owns the step.
+func (r *runner) store(ctx context.Context, b *durable.Batch) bool {
+	began := r.c.o.Clock.Now()
+	ops, err := r.resultOps(b)
+	if err != nil {
+		r.log.Error("results not encoded", "error", err)
+		return false
+	}
+	for {
+		err := r.commit(ctx, ops)
+		switch infra.EffectOf(err) {
+		case effect.Done:
+			r.stored(b, began)
+			return true
+		case effect.Conflict, effect.Unknown:
+			done, owns := r.resolve(ctx, b)
+			if done {
+				r.stored(b, began)
+				return true
+			}
+			if !owns {
+				return false
+			}
+		}
+		if sleep(ctx, retryPause) != nil {
+			return false
+		}
+	}
+}
+
+func (r *runner) resultOps(b *durable.Batch) ([]infra.Op, error) {
+	ops := []infra.Op{infra.Check(ownerKey, r.ownerVersion)}
+	for i, result := range b.Results {
+		value, err := json.Marshal(result)
+		if err != nil {
+			return nil, err
+		}
+		ops = append(ops, split(resultKey(b.Position+i), value)...)
+	}
+	return ops, nil
+}
+
+func (r *runner) commit(ctx context.Context, ops []infra.Op) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.t.Commit(ctx, ops...)
+}
+
+// resolve finds out whether a batch is stored, and if not, whether this
+// instance still owns the step.
+func (r *runner) resolve(ctx context.Context, b *durable.Batch) (done, owns bool) {
+	for ctx.Err() == nil {
+		list, err := r.readBatch(ctx, b)
+		if err == nil && len(list) > 0 {
+			return list[0].ID == b.Results[0].ID, false
+		}
+		if err == nil {
+			owns, err = r.owns(ctx)
+			if err == nil {
+				return false, owns
+			}
+		}
+		r.log.Warn("outcome of a write not known yet", "position", b.Position, "error", err)
+		if sleep(ctx, retryPause) != nil {
+			break
+		}
+	}
+	return false, false
+}
+
+func (r *runner) readBatch(ctx context.Context, b *durable.Batch) ([]durable.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return readResults(ctx, r.t, b.Position)
+}
+
+// owns reads whether this instance still owns the step.
+func (r *runner) owns(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := readState(ctx, r.t)
+	if err != nil {
+		return false, err
+	}
+	if s.ownerVersion != r.ownerVersion {
+		r.lose(s)
+		return false, nil
+	}
+	if s.ended {
+		r.finish()
+	}
+	return true, nil
+}
+
+// lose stops the runner of a step that another instance owns.
+func (r *runner) lose(s state) {
+	r.log.Warn("step lost", "owner", s.owner.Instance, "incarnation", s.owner.Incarnation)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over()
+}
+
+func (r *runner) stored(b *durable.Batch, began time.Duration) {
+	took := r.c.o.Clock.Now() - began
+	r.c.o.Scope.Timer("step_commit").Record(took)
+	r.log.Info("results stored", "position", b.Position, "results", len(b.Results), "took", took)
+	r.mu.Lock()
+	r.step.Stored()
+	r.results = append(r.results, b.Results...)
+	close(r.news)
+	r.news = make(chan struct{})
+	r.mu.Unlock()
+	r.look()
+}
+
+// save writes what has come of samples that are under way.
+func (r *runner) save(ctx context.Context, least int) {
+	r.mu.Lock()
+	list := r.step.Unsaved(least)
+	r.mu.Unlock()
+	for len(list) > 0 && ctx.Err() == nil {
+		n, ops := r.saveOps(list)
+		if err := r.commit(ctx, ops); err != nil {
+			r.log.Debug("unfinished samples not saved", "error", err)
+			r.readSavedVersions(ctx)
+			return
+		}
+		r.wasSaved(list[:n])
+		list = list[n:]
+	}
+}
+
+func (r *runner) wasSaved(list []durable.Saved) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, v := range list {
+		r.step.WasSaved(v)
+		r.saved[v.ID]++
+	}
+}
+
+// readSavedVersions finds out which rows of unfinished samples there are.
+func (r *runner) readSavedVersions(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, versions, err := readSaved(ctx, r.t)
+	if err != nil {
+		return // the next write fails as well, and tries this again
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saved = versions
+}
+
+// saveOps returns the rows of as many samples as fit into a transaction, and
+// their number. Samples too long for a row are left out.
+func (r *runner) saveOps(list []durable.Saved) (int, []infra.Op) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ops := []infra.Op{infra.Check(ownerKey, r.ownerVersion)}
+	for n, v := range list {
+		value, err := json.Marshal(v)
+		if err != nil || len(value) > rowBytes {
+			continue
+		}
+		ops = append(ops, infra.PutIf(savedPrefix+v.ID, r.saved[v.ID], value))
+		if fitting(ops) < len(ops) {
+			return n, ops[:len(ops)-1]
+		}
+	}
+	return len(list), ops
+}
