cumincoved: SIGHUP while leaving no longer ends the process

Ruled out: SIGTERM before its handler stands ('leaving' is logged), an early end of the shutdown ('stopped' is missing), a panic (no output).

TestHangupWhileLeaving ended with 'signal: hangup' before the change.

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -72,7 +72,8 @@
 	return nil
 }
 
-// notifyHangup returns what gets each SIGHUP from now on.
+// notifyHangup returns what gets each SIGHUP from now on, to the end of the
+// process: left to the system, a SIGHUP would end a process that shuts down.
 func notifyHangup() chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -82,7 +83,6 @@
 // followReloads reads the settings file again at each SIGHUP and says what came
 // of it. Settings take effect at the next start.
 func followReloads(ctx context.Context, hangups chan os.Signal, file string, running settings.Settings, log *slog.Logger) {
-	defer signal.Stop(hangups)
 	for {
 		select {
 		case <-hangups:
--- a/cmd/cumincoved/main_test.go
+++ b/cmd/cumincoved/main_test.go
@@ -56,3 +56,19 @@
 	}
 	t.Errorf("log: %q", out.String())
 }
+
+// TestHangupWhileLeaving: SIGHUP after SIGTERM does not end the process, which
+// still answers requests. The test's own process is the one that would end.
+func TestHangupWhileLeaving(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	hangups := notifyHangup()
+	cancel()
+	followReloads(ctx, hangups, "", settings.Default(), slog.New(slog.DiscardHandler))
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-hangups:
+	case <-t.Context().Done():
+	}
+}
