fairqueue: the floor of rollouts holds after two seconds behind callers

Ruled out: the division of room (the same sums with and without it) and chance (the same figure each run).

The floor guards against starving; it need not hold in a burst of two seconds. Options.FloorAfter says when it begins.

--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -44,6 +44,10 @@
 	// RolloutFloor is the share of the cost that rollout requests get while
 	// both classes wait, between 0 and 1.
 	RolloutFloor float64
+	// FloorAfter is how long rollout requests must have waited behind
+	// interactive ones for the floor to hold: interactive requests go first in
+	// a short burst, and rollout requests don't starve in a long one.
+	FloorAfter time.Duration
 	// MaxDebt bounds how far a charge may set a team back, in cost. A team
 	// that was charged more than it used catches up after this much.
 	MaxDebt float64
@@ -51,7 +55,7 @@
 
 // DefaultOptions returns the Options for a service.
 func DefaultOptions() Options {
-	return Options{TeamLength: 1_000, Length: 10_000, RolloutFloor: 0.1, MaxDebt: 100_000}
+	return Options{TeamLength: 1_000, Length: 10_000, RolloutFloor: 0.1, FloorAfter: 2 * time.Second, MaxDebt: 100_000}
 }
 
 // Item is a waiting request.
@@ -77,7 +81,10 @@
 	class [classes]classQueue
 	// credit is what rollout requests are owed, in cost.
 	credit float64
-	len    int
+	// behindSince is when rollout requests began to wait or last got a turn
+	// that no interactive request wanted.
+	behindSince time.Duration
+	len         int
 }
 
 // New returns an empty Queue.
@@ -142,7 +149,7 @@
 			expired = append(expired, it)
 			continue
 		}
-		q.settleCredit(it)
+		q.settleCredit(now, it)
 		c.charge(it)
 		return it, expired
 	}
@@ -189,6 +196,9 @@
 		c := &q.class[i]
 		c.rate.advance(now, !c.empty())
 	}
+	if q.class[Rollout].empty() {
+		q.behindSince = now
+	}
 }
 
 // Charge sets a team back by a cost that it caused outside the queue. A
@@ -213,13 +223,15 @@
 	return first
 }
 
-// settleCredit keeps account of the floor while both classes wait.
-func (q *Queue) settleCredit(it *Item) {
+// settleCredit keeps account of the floor while it holds.
+func (q *Queue) settleCredit(now time.Duration, it *Item) {
 	floor := q.opt.RolloutFloor
 	switch {
+	case it.Class == Rollout && q.class[Interactive].empty():
+		q.credit, q.behindSince = 0, now
 	case it.Class == Rollout:
 		q.credit = max(q.credit-it.Cost, 0)
-	case q.class[Rollout].empty():
+	case q.class[Rollout].empty(), now-q.behindSince < q.opt.FloorAfter:
 		q.credit = 0
 	case floor < 1:
 		q.credit += it.Cost * floor / (1 - floor)
