Members by the store's feed, each duty's rows in a part of their own

A part of the store executes one transaction after another, 250 ms each then; ten member rows a second, leases, usage and demand all lay in one part. All members lapsed (61 times), leases ended, two steps were taken over from living owners, one usage window came late. Ruled out: a slow network (reads), too short a time for calls (refusals came in 0.15 s).

TestSlowParts fails with one part.

--- a/controller/leases/runner.go
+++ b/controller/leases/runner.go
@@ -21,7 +21,11 @@
 // Options sets Runners up.
 type Options struct {
 	Table infra.Table
-	Clock clock.Clock
+	// Tables, if set, is used in place of Table: each duty's rows lie in the
+	// part of its name, so that duties don't slow each other down. What is
+	// written under a duty's fence belongs into the same part.
+	Tables infra.Tables
+	Clock  clock.Clock
 	// Holder is this instance's name. Incarnation must differ from that of
 	// every earlier process of this name.
 	Holder      string
@@ -82,6 +86,9 @@
 // NewRunner returns a Runner that is no candidate yet.
 func NewRunner(o Options, d Duty) *Runner {
 	o = o.withDefaults()
+	if o.Tables != nil {
+		o.Table = o.Tables.Part(d.String())
+	}
 	scope := o.Metrics.Tagged(map[string]string{"duty": d.Name, "data_centre": d.DataCentre})
 	return &Runner{
 		o:     o,
@@ -104,6 +111,10 @@
 // Duty returns the Runner's duty.
 func (r *Runner) Duty() Duty { return r.duty }
 
+// Table returns the table that holds the duty's rows and what is written under
+// its fence.
+func (r *Runner) Table() infra.Table { return r.o.Table }
+
 // Guard returns the guard of the duty's acts.
 func (r *Runner) Guard() *lease.Guard { return r.guard }
 
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -15,32 +15,13 @@
 	"github.com/cumincove/cumincove/view"
 )
 
-const (
-	// prefix begins the keys of the rows.
-	prefix = "member/"
-	// page is the number of rows read at a time.
-	page = 500
-	// callTimeout bounds a call of the table.
-	callTimeout = time.Second
-)
-
-// row is what an instance says of itself.
-type row struct {
-	Incarnation uint64 `json:"incarnation"`
-	// Beat rises with each write.
-	Beat       uint64 `json:"beat"`
-	DataCentre string `json:"data_centre"`
-	PeerAddr   string `json:"peer_addr"`
-	CallerAddr string `json:"caller_addr"`
-	Leaving    bool   `json:"leaving,omitempty"`
-	InFlight   int    `json:"in_flight"`
-	// Streams counts its requests and streams by endpoint.
-	Streams map[string]int `json:"streams,omitempty"`
-}
+// callTimeout bounds a call of the table.
+const callTimeout = time.Second
 
 // Options says what a Controller works with.
 type Options struct {
-	Table infra.Table
+	// Rows hold the instances' rows, spread over parts.
+	Rows  infra.Feed
 	Views *view.Store
 	Clock clock.Clock
 	Log   *slog.Logger
@@ -58,8 +39,12 @@
 
 // Controller writes this instance's row and follows the others'.
 type Controller struct {
-	o      Options
-	beat   uint64
+	o    Options
+	own  infra.Table
+	beat uint64
+	// rows are as last read, up to position next of the feed.
+	rows   map[string]row
+	next   uint64
 	seen   map[string]sighting
 	urge   chan struct{}
 	lastOK time.Duration
@@ -74,7 +59,10 @@
 
 // New returns a Controller.
 func New(o Options) *Controller {
-	return &Controller{o: o, seen: map[string]sighting{}, urge: make(chan struct{}, 1)}
+	return &Controller{
+		o: o, own: o.Rows.Part(partOf(o.Self.Name)),
+		rows: map[string]row{}, seen: map[string]sighting{}, urge: make(chan struct{}, 1),
+	}
 }
 
 // Synced reports whether the rows were read at least once.
@@ -103,7 +91,7 @@
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	if err := c.o.Table.Commit(last, infra.Delete(prefix+c.o.Self.Name)); err != nil {
+	if err := c.own.Commit(last, infra.Delete(prefix+c.o.Self.Name)); err != nil {
 		c.o.Log.Warn("member row not removed", "error", err)
 	}
 	return nil
@@ -128,7 +116,7 @@
 		c.o.Log.Error("member row not encoded", "error", err)
 		return
 	}
-	if err := c.o.Table.Commit(ctx, infra.Put(prefix+c.o.Self.Name, value)); err != nil {
+	if err := c.own.Commit(ctx, infra.Put(prefix+c.o.Self.Name, value)); err != nil {
 		c.o.Scope.Counter("member_writes_failed").Inc(1)
 		c.o.Log.Debug("member row not written", "error", err)
 	}
@@ -148,51 +136,30 @@
 func (c *Controller) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, err := c.list(ctx)
+	changes, err := c.o.Rows.Changes(ctx, c.next)
 	now := c.o.Clock.Now()
 	if err != nil {
 		c.o.Scope.Counter("member_reads_failed").Inc(1)
 		c.o.Log.Debug("member rows not read", "error", err)
 		return
 	}
-	c.take(now, rows)
+	c.apply(changes)
+	c.take(now)
 	c.publish(now)
 	c.synced.Store(true)
 }
 
-func (c *Controller) list(ctx context.Context) (map[string]row, error) {
-	rows := map[string]row{}
-	for after := ""; ; {
-		list, err := c.o.Table.List(ctx, prefix, after, page)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range list {
-			after = r.Key
-			var decoded row
-			if err := json.Unmarshal(r.Value, &decoded); err != nil {
-				c.o.Log.Warn("member row is unreadable", "row", r.Key, "error", err)
-				continue
-			}
-			rows[r.Key[len(prefix):]] = decoded
-		}
-		if len(list) < page {
-			return rows, nil
-		}
-	}
-}
-
 // take notes which rows changed. After a time without reads every row gets its
 // full time again.
-func (c *Controller) take(now time.Duration, rows map[string]row) {
+func (c *Controller) take(now time.Duration) {
 	gap := now-c.lastOK > 2*c.o.Period+callTimeout
 	c.lastOK = now
 	for name := range c.seen {
-		if _, ok := rows[name]; !ok {
+		if _, ok := c.rows[name]; !ok {
 			delete(c.seen, name)
 		}
 	}
-	for name, r := range rows {
+	for name, r := range c.rows {
 		old, ok := c.seen[name]
 		same := ok && old.row.Beat == r.Beat && old.row.Incarnation == r.Incarnation
 		if !same || gap {
--- a/controller/presence/presence_test.go
+++ b/controller/presence/presence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"maps"
@@ -34,24 +35,31 @@
 	crash, stop func()
 }
 
-// cut is a table that an instance may be cut off from.
+// cut is a family of tables that an instance may be cut off from.
 type cut struct {
-	infra.Table
+	infra.Feed
 	off atomic.Bool
 }
 
-func (c *cut) Commit(ctx context.Context, ops ...infra.Op) error {
+func (c *cut) Part(name string) infra.Table { return &cutPart{c.Feed.Part(name), c} }
+
+type cutPart struct {
+	infra.Table
+	*cut
+}
+
+func (c *cutPart) Commit(ctx context.Context, ops ...infra.Op) error {
 	if c.off.Load() {
 		return infra.ErrUnavailable
 	}
 	return c.Table.Commit(ctx, ops...)
 }
 
-func start(t *testing.T, fake *fakeplatform.Platform, name string, incarnation uint64) *instance {
+func start(t *testing.T, rows infra.Feed, name string, incarnation uint64) *instance {
 	in := &instance{views: view.NewStore()}
-	table := &cut{Table: fake.Platform().Table}
+	table := &cut{Feed: rows}
 	c := presence.New(presence.Options{
-		Table: table, Views: in.views, Clock: clock.NewMonotonic(), Scope: tally.NoopScope,
+		Rows: table, Views: in.views, Clock: clock.NewMonotonic(), Scope: tally.NoopScope,
 		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Self:   view.Member{Name: name, Incarnation: incarnation},
 		Period: period, Lapse: lapse,
@@ -82,7 +90,7 @@
 func TestMembers(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		fake := fakeplatform.New(fakeplatform.Options{})
-		a, b, c := start(t, fake, "a", 1), start(t, fake, "b", 1), start(t, fake, "c", 1)
+		a, b, c := start(t, fake.Tables(), "a", 1), start(t, fake.Tables(), "b", 1), start(t, fake.Tables(), "c", 1)
 		defer a.stop()
 		time.Sleep(2 * period)
 		want(t, a, "a", "b", "c")
@@ -100,7 +108,7 @@
 		want(t, a, "a", "c")
 		time.Sleep(3 * period)
 		want(t, a, "a")
-		c = start(t, fake, "c", 2)
+		c = start(t, fake.Tables(), "c", 2)
 		defer c.stop()
 		time.Sleep(2 * period)
 		if got := a.views.Load().Members["c"].Incarnation; got != 2 {
@@ -113,7 +121,7 @@
 func TestOutage(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		fake := fakeplatform.New(fakeplatform.Options{})
-		a, b := start(t, fake, "a", 1), start(t, fake, "b", 1)
+		a, b := start(t, fake.Tables(), "a", 1), start(t, fake.Tables(), "b", 1)
 		defer a.stop()
 		defer b.stop()
 		time.Sleep(2 * period)
@@ -129,3 +137,73 @@
 		}
 	})
 }
+
+// busyParts are tables of which each part executes one transaction after
+// another, each in txTime, and refuses one that would wait too long.
+type busyParts struct {
+	infra.Feed
+	mu sync.Mutex
+	// freeAt is when a part has executed all that it took.
+	freeAt map[string]time.Time
+	txTime time.Duration
+}
+
+// maxBusy is how much work may wait at a part.
+const maxBusy = time.Second
+
+func (b *busyParts) Part(name string) infra.Table { return &busyPart{b.Feed.Part(name), name, b} }
+
+type busyPart struct {
+	infra.Table
+	name string
+	*busyParts
+}
+
+func (p *busyPart) Commit(ctx context.Context, ops ...infra.Op) error {
+	p.mu.Lock()
+	now := time.Now()
+	freeAt := p.freeAt[p.name]
+	if freeAt.Before(now) {
+		freeAt = now
+	}
+	wait := freeAt.Sub(now) + p.txTime
+	if wait > maxBusy {
+		p.mu.Unlock()
+		return infra.ErrUnavailable
+	}
+	p.freeAt[p.name] = now.Add(wait)
+	p.mu.Unlock()
+	select {
+	case <-time.After(wait):
+		return p.Table.Commit(ctx, ops...)
+	case <-ctx.Done():
+		return infra.ErrUnknownOutcome
+	}
+}
+
+// TestSlowParts: ten instances go on seeing each other while the store takes
+// 50 times as long as usual for a transaction.
+func TestSlowParts(t *testing.T) {
+	const instances = 10
+	bubble.Test(t, func(t *testing.T) {
+		fake := fakeplatform.New(fakeplatform.Options{})
+		rows := &busyParts{Feed: fake.Tables(), freeAt: map[string]time.Time{}, txTime: 250 * time.Millisecond}
+		var names []string
+		for i := range instances {
+			names = append(names, fmt.Sprintf("node-%d", i))
+		}
+		var all []*instance
+		for _, name := range names {
+			in := start(t, rows, name, 1)
+			defer in.stop()
+			all = append(all, in)
+		}
+		time.Sleep(3 * period)
+		for range 60 {
+			time.Sleep(period)
+			for _, in := range all {
+				want(t, in, names...)
+			}
+		}
+	})
+}
--- a/controller/scaling/controller.go
+++ b/controller/scaling/controller.go
@@ -27,7 +27,6 @@
 
 // Options says what a Controller works with.
 type Options struct {
-	Table  infra.Table
 	Scaler infra.Scaler
 	Keeper *leases.Keeper
 	Views  *view.Store
@@ -135,13 +134,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	counts := map[string]int{}
-	version, err := infra.GetJSON(ctx, c.o.Table, key, &counts)
+	version, err := infra.GetJSON(ctx, c.duty.Table(), key, &counts)
 	if err != nil {
 		return nil, err
 	}
 	if version == 0 {
 		counts = Wanted(onDemand, p.Max)
-		if err := c.o.Table.Commit(ctx, infra.PutJSON(key, 0, counts)); err != nil {
+		if err := c.duty.Table().Commit(ctx, infra.PutJSON(key, 0, counts)); err != nil {
 			return nil, err
 		}
 		c.o.Log.Info("endpoint counts wanted", "service", service, "data_centre", p.DataCentre, "counts", counts)
--- a/controller/usage/controller.go
+++ b/controller/usage/controller.go
@@ -26,7 +26,6 @@
 
 // Options says what a Controller works with.
 type Options struct {
-	Table   infra.Table
 	Reports infra.UsageReports
 	Keeper  *leases.Keeper
 	// Holder is this instance's name. Incarnation must differ from that of
@@ -143,9 +142,9 @@
 	ctx, cancel := context.WithTimeout(ctx, max(c.o.Flush, time.Second))
 	defer cancel()
 	if up, ok := a.(window.Upsert); ok {
-		return window.Upserted{Outcome: c.outcome("flush", c.o.Table.Commit(ctx, c.rows.upsert(up)...))}
+		return window.Upserted{Outcome: c.outcome("flush", c.duty.Table().Commit(ctx, c.rows.upsert(up)...))}
 	}
-	read, err := c.rows.readPart(ctx, c.o.Table, a.(window.ReadPart).Window)
+	read, err := c.rows.readPart(ctx, c.duty.Table(), a.(window.ReadPart).Window)
 	if err != nil {
 		c.outcome("read part", err)
 		return window.ReadFailed{}
--- a/controller/usage/seal.go
+++ b/controller/usage/seal.go
@@ -63,7 +63,7 @@
 
 // sealAct makes one call under the lease.
 func (c *Controller) sealAct(ctx context.Context, epoch uint64, a any) (any, error) {
-	t, fence := c.o.Table, c.duty.Duty().Fence(epoch)
+	t, fence := c.duty.Table(), c.duty.Duty().Fence(epoch)
 	switch a := a.(type) {
 	case window.ReadState:
 		return c.rows.readState(ctx, t)
--- a/controller/usage/status.go
+++ b/controller/usage/status.go
@@ -19,13 +19,13 @@
 func (c *Controller) Window(ctx context.Context, w int64) (api.Usage, error) {
 	if w == 0 {
 		var cursor window.Cursor
-		if _, err := infra.GetJSON(ctx, c.o.Table, cursorKey, &cursor); err != nil {
+		if _, err := infra.GetJSON(ctx, c.duty.Table(), cursorKey, &cursor); err != nil {
 			return api.Usage{}, code.Wrap(code.StoreDown, err, "read usage cursor")
 		}
 		w = cursor.Seal - int64(c.o.Window.Seconds())
 	}
 	u := api.Usage{Window: w}
-	frozen, err := c.rows.readFrozen(ctx, c.o.Table, w)
+	frozen, err := c.rows.readFrozen(ctx, c.duty.Table(), w)
 	if errors.Is(err, infra.ErrNotFound) {
 		return u, nil
 	}
--- a/controller/usage/usage_test.go
+++ b/controller/usage/usage_test.go
@@ -68,7 +68,7 @@
 		Duration: o.lease, Log: log,
 	}, views)
 	c := usage.New(usage.Options{
-		Table: p.Table, Reports: p.Usage, Keeper: keeper, Holder: name, Incarnation: 1,
+		Reports: p.Usage, Keeper: keeper, Holder: name, Incarnation: 1,
 		Log: log, Metrics: tally.NoopScope, Window: o.window, Flush: o.flush, Grace: o.grace,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/infra/platform.go
+++ b/infra/platform.go
@@ -132,9 +132,10 @@
 // Managed bundles the interfaces of a platform whose operators write to its
 // store and whose endpoints register there themselves.
 type Managed struct {
-	// Table holds the system's own rows, and Steps those of rollout steps, a
-	// part for each step.
-	Table    Table
+	// Own holds the system's own rows, a part for each purpose, Members those of
+	// instances, and Steps those of rollout steps, a part for each step.
+	Own      Tables
+	Members  Feed
 	Steps    Tables
 	Operator Operator
 	Replicas Replicas
--- a/infra/tables.go
+++ b/infra/tables.go
@@ -11,3 +11,30 @@
 	// the given one.
 	Parts(ctx context.Context, after string, limit int) ([]string, error)
 }
+
+// Feed is a family of tables whose changes can be followed.
+type Feed interface {
+	Tables
+	// Changes returns what was written after a position, and the next position.
+	// Position zero stands for the beginning.
+	Changes(ctx context.Context, after uint64) (Changes, error)
+}
+
+// Changes are rows of all parts of a Feed. Keys are to be unique over all parts.
+type Changes struct {
+	// Whole says that these are all rows there are, in place of what was known:
+	// the history since the position is no longer kept.
+	Whole bool
+	// Rows are in the order of their writing; of several of a key the last one
+	// counts.
+	Rows []Change
+	// Next is the position to go on from.
+	Next uint64
+}
+
+// Change is a row that was written, or removed.
+type Change struct {
+	Key     string
+	Value   []byte
+	Removed bool
+}
--- a/internal/daemon/duties.go
+++ b/internal/daemon/duties.go
@@ -53,7 +53,6 @@
 			Demands:   d.membership.Demands,
 		}),
 		usage: usage.New(usage.Options{
-			Table:       d.d.Platform.Table,
 			Reports:     d.d.Platform.Usage,
 			Keeper:      keeper,
 			Holder:      s.Name,
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -111,7 +111,7 @@
 		Regained: func() { m.presence.Urge() },
 	})
 	m.presence = presence.New(presence.Options{
-		Table: deps.Platform.Table, Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
+		Rows: deps.Platform.Members, Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: view.Member{
 			Name: s.Name, Incarnation: m.incarnation, DataCentre: s.DataCentre,
 			PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers,
@@ -120,7 +120,7 @@
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
 	})
 	m.keeper = leases.NewKeeper(leases.Options{
-		Table: deps.Platform.Table, Clock: deps.Clock, Holder: s.Name, Incarnation: m.incarnation,
+		Tables: deps.Platform.Own, Clock: deps.Clock, Holder: s.Name, Incarnation: m.incarnation,
 		Duration: time.Duration(s.Timing.LeaseDuration), Log: deps.Log, Metrics: deps.Scope,
 	}, m.views)
 	m.models = models.New(models.Options{
@@ -130,25 +130,28 @@
 		Hurry:  m.intent.Hurry, Named: m.intent.Weights, SingleVersion: singleVersion,
 	})
 	m.scaling = scaling.New(scaling.Options{
-		Table: deps.Platform.Table, Scaler: deps.Platform.Scaler, Keeper: m.keeper,
+		Scaler: deps.Platform.Scaler, Keeper: m.keeper,
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope, Holder: s.Name,
 		Fresh: func() bool { return m.intent.Fresh(deps.Clock.Now()) },
 	})
 	m.usage = usage.New(usage.Options{
-		Table: deps.Platform.Table, Reports: deps.Platform.Usage, Keeper: m.keeper,
+		Reports: deps.Platform.Usage, Keeper: m.keeper,
 		Holder: s.Name, Incarnation: m.incarnation, Log: deps.Log, Metrics: deps.Scope,
 		Window: time.Duration(s.Timing.UsageWindow), Flush: time.Duration(s.Timing.UsageFlush),
 		Grace: time.Duration(s.Timing.UsageGrace),
 	})
 	m.newRequestParts()
 	m.steps = steps.New(steps.Options{
-		Steps: deps.Platform.Steps, Shared: deps.Platform.Table, Engines: deps.Platform.Engines, Score: m.score(),
+		Steps: deps.Platform.Steps, Shared: deps.Platform.Own.Part(sharedPart), Engines: deps.Platform.Engines, Score: m.score(),
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: s.Name, Incarnation: m.incarnation, Synced: m.presence.Synced,
 	})
 	return m
 }
 
+// sharedPart is the part of the own rows that tells what steps ask for.
+const sharedPart = "demand"
+
 // singleVersion reports whether any rollout route takes samples of one version
 // only. Routes don't name their models.
 func singleVersion(v *view.View, _ string) bool {
--- a/internal/fake/fakeplatform/tables.go
+++ b/internal/fake/fakeplatform/tables.go
@@ -11,7 +11,7 @@
 const partsPrefix = "parts/"
 
 // Tables returns a family of tables whose rows lie beside those of the table.
-func (p *Platform) Tables() infra.Tables { return tables{p.Platform().Table} }
+func (p *Platform) Tables() infra.Feed { return tables{p.Platform().Table} }
 
 type tables struct{ table infra.Table }
 
@@ -35,6 +35,20 @@
 	return names, nil
 }
 
+// Changes returns all rows each time: no history is kept.
+func (t tables) Changes(ctx context.Context, _ uint64) (infra.Changes, error) {
+	rows, err := t.table.List(ctx, partsPrefix, "", 1<<20)
+	if err != nil {
+		return infra.Changes{}, err
+	}
+	all := infra.Changes{Whole: true}
+	for _, row := range rows {
+		_, key, _ := strings.Cut(strings.TrimPrefix(row.Key, partsPrefix), "/")
+		all.Rows = append(all.Rows, infra.Change{Key: key, Value: row.Value})
+	}
+	return all, nil
+}
+
 // part is a part of the table, by a prefix of the keys.
 type part struct {
 	table  infra.Table
