Header and idle times of the configuration in force; calls of the store bounded

The server's own static times could cut a caller that keeps to the configuration's, and let one that does not go on. Now connections of callers are looked at four times a second: a header that takes too long is answered 408 and the connection closed, an idle one is closed. Time in which the process did not run doesn't count, and a shorter idle time holds from the next request on, since the caller may not know of it yet. A request that has begun to come over an idle connection is now waited for at a shutdown.

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -149,6 +149,7 @@
 		Platform: platform.New(platform.Options{
 			StoreURL:    s.Platform.URL,
 			DutiesURL:   s.Platform.DutiesURL,
+			StoreCalls:  s.Limits.StoreCalls,
 			UsageWindow: time.Duration(s.Timing.UsageWindow),
 			Dial:        dial,
 			Pool:        pool,
--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -13,10 +13,6 @@
 	"github.com/cumincove/cumincove/infra"
 )
 
-// resolvePause is the time between two tries to find out what became of a
-// write.
-const resolvePause = 100 * time.Millisecond
-
 // Accept stores a step and begins to run it. Nil means that the step is stored,
 // by this call or an earlier one. An error that says "not run" means that
 // nothing of it runs, and never will unless it is submitted again.
@@ -132,6 +128,7 @@
 // resolve finds out what became of the submission: nil without again means that
 // the step is there.
 func (a *acceptance) resolve(ctx context.Context) (again bool, err error) {
+	var pause backoff
 	for {
 		s, err := a.read(ctx)
 		switch {
@@ -146,7 +143,7 @@
 				return false, code.New(code.StoreDown, "the store's answer was lost")
 			}
 		}
-		if ctx.Err() != nil || sleep(ctx, resolvePause) != nil {
+		if ctx.Err() != nil || pause.wait(ctx) != nil {
 			return false, code.Wrap(code.CommitUnknown, err, "")
 		}
 	}
@@ -229,6 +226,7 @@
 		return err
 	}
 	t := c.table(id)
+	var pause backoff
 	for {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := t.Commit(call, infra.PutIf(endKey, 0, value))
@@ -237,7 +235,7 @@
 			c.o.Log.Info("step ended", "step", id)
 			return nil
 		}
-		if sleep(ctx, resolvePause) != nil {
+		if pause.wait(ctx) != nil {
 			return code.Wrap(code.CommitUnknown, err, "")
 		}
 	}
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -19,8 +19,6 @@
 	fullTick   = 20 * time.Millisecond
 	// checkPeriod is the time between two reads of a step's state.
 	checkPeriod = 250 * time.Millisecond
-	// retryPause is the time before a failed write is tried again.
-	retryPause = 100 * time.Millisecond
 )
 
 // runner runs one step as its owner.
@@ -277,11 +275,12 @@
 	r.mu.Lock()
 	r.paused = true
 	r.mu.Unlock()
+	var pause backoff
 	for {
 		r.save(ctx, 1)
 		err := r.commit(ctx, []infra.Op{infra.PutJSON(ownerKey, r.ownerVersion, owner{})})
 		r.log.Info("step handed over", "error", err)
-		if err == nil || errors.Is(err, infra.ErrConflict) || sleep(ctx, retryPause) != nil {
+		if err == nil || errors.Is(err, infra.ErrConflict) || pause.wait(ctx) != nil {
 			break
 		}
 		if r.isDone() {
--- a/controller/steps/runner_store.go
+++ b/controller/steps/runner_store.go
@@ -45,6 +45,7 @@
 		r.log.Error("results not encoded", "error", err)
 		return false
 	}
+	var pause backoff
 	for {
 		err := r.commit(ctx, ops)
 		switch infra.EffectOf(err) {
@@ -61,7 +62,7 @@
 				return false
 			}
 		}
-		if sleep(ctx, retryPause) != nil {
+		if pause.wait(ctx) != nil {
 			return false
 		}
 	}
@@ -88,6 +89,7 @@
 // resolve finds out whether a batch is stored, and if not, whether this
 // instance still owns the step.
 func (r *runner) resolve(ctx context.Context, b *durable.Batch) (done, owns bool) {
+	var pause backoff
 	for ctx.Err() == nil {
 		list, err := r.readBatch(ctx, b)
 		if err == nil && len(list) > 0 {
@@ -100,7 +102,7 @@
 			}
 		}
 		r.log.Warn("outcome of a write not known yet", "position", b.Position, "error", err)
-		if sleep(ctx, retryPause) != nil {
+		if pause.wait(ctx) != nil {
 			break
 		}
 	}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -82,6 +82,9 @@
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
+	if t, ok := c.(*timedConn); ok {
+		c = t.Conn
+	}
 	ctx = markSurplus(ctx, c)
 	if b, ok := c.(*boundedConn); ok {
 		c = b.Conn
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -34,12 +35,13 @@
 		name, addr string
 		maxConns   int // zero means no bound
 		refuses    bool
+		timed      bool // by the configuration
 		h          http.Handler
 	}{
-		{"callers", l.Callers, limits.Connections, true, bounded(m.d.Adapter.Callers(sys), limits.HeaderBytes)},
-		{"readiness", l.Readiness, 0, false, m.d.Adapter.Readiness(sys)},
-		{"entries", l.Entries, 0, false, m.d.Adapter.Entries(sys)},
-		{"operators", l.Operators, 0, false, m.monitoring()},
+		{"callers", l.Callers, limits.Connections, true, true, bounded(m.d.Adapter.Callers(sys), limits.HeaderBytes)},
+		{"readiness", l.Readiness, 0, false, false, m.d.Adapter.Readiness(sys)},
+		{"entries", l.Entries, 0, false, false, m.d.Adapter.Entries(sys)},
+		{"operators", l.Operators, 0, false, false, m.monitoring()},
 	}
 	var servers []*server
 	for _, p := range plan {
@@ -54,11 +56,24 @@
 		}
 		s := newServer(p.name, ln, httpServer(p.h, limits, m.d.Log))
 		s.refuses = p.refuses
+		if p.timed {
+			s.limitTimes(m.connTimes)
+		}
 		servers = append(servers, s)
 	}
 	return servers, nil
 }
 
+// connTimes are the configuration's times for callers, or the program's own where
+// it has none.
+func (m *Managed) connTimes() connTimes {
+	l := m.views.Load().Config.Limits
+	return connTimes{
+		header: cmp.Or(time.Duration(l.HeaderTime), readHeaderTimeout),
+		idle:   cmp.Or(time.Duration(l.IdleTime), callerIdleTimeout),
+	}
+}
+
 // monitoring serves metrics and profiles.
 func (m *Managed) monitoring() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -37,22 +37,13 @@
 	stopping atomic.Bool
 	served   chan struct{} // closed when no connection is accepted any more
 	conns    sync.Map      // net.Conn to *connState
+	// times, if set by limitTimes, says how long connections may take now.
+	times func() connTimes
 	// lastNews is when a connection or a request last began, in Unix
 	// nanoseconds.
 	lastNews atomic.Int64
 }
 
-// connState is what a connection is doing.
-type connState struct {
-	state http.ConnState
-	since time.Time // for http.StateNew only
-}
-
-var (
-	stateActive = &connState{state: http.StateActive}
-	stateIdle   = &connState{state: http.StateIdle}
-)
-
 func newServer(name string, l net.Listener, hs *http.Server) *server {
 	s := &server{name: name, l: l, http: hs, served: make(chan struct{})}
 	hs.ConnState = s.track
@@ -61,6 +52,9 @@
 
 func (s *server) serve() error {
 	defer close(s.served)
+	if s.times != nil {
+		go s.enforceTimes()
+	}
 	err := s.http.Serve(s.l)
 	if s.stopping.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -68,26 +62,10 @@
 	return fmt.Errorf("serve %s: %w", s.name, err)
 }
 
-// track notes what a connection is doing.
-func (s *server) track(c net.Conn, state http.ConnState) {
-	now := time.Now()
-	switch state {
-	case http.StateNew:
-		s.lastNews.Store(now.UnixNano())
-		s.conns.Store(c, &connState{state: state, since: now})
-	case http.StateActive:
-		s.lastNews.Store(now.UnixNano())
-		s.conns.Store(c, stateActive)
-	case http.StateIdle:
-		s.conns.Store(c, stateIdle)
-	default:
-		s.conns.Delete(c)
-	}
-}
-
 // stop waits until callers stay away, accepts no more connections, and answers
-// all requests that come over those it has. http.Server.Shutdown alone would not: it drops a request whose
-// header it reads after its call. The error is that of ctx if it ends first.
+// all requests that come over those it has. http.Server.Shutdown alone would
+// not: it drops a request whose header it reads after its call. The error is
+// that of ctx if it ends first.
 func (s *server) stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	s.http.SetKeepAlivesEnabled(false)
@@ -117,16 +95,3 @@
 func (s *server) quiet() bool {
 	return time.Since(time.Unix(0, s.lastNews.Load())) >= quietTime
 }
-
-// waiting reports whether a connection has a request, or is so new that one is
-// expected.
-func (s *server) waiting() bool {
-	found := false
-	s.conns.Range(func(_, v any) bool {
-		c := v.(*connState)
-		silent := c.state == http.StateNew && time.Since(c.since) > silentTime
-		found = c.state != http.StateIdle && !silent
-		return !found
-	})
-	return found
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -106,6 +106,9 @@
 	Connections int `json:"connections" unit:"connections" min:"1" max:"1000000"`
 	// InFlight bounds requests in flight at this instance.
 	InFlight int `json:"in_flight" unit:"requests" min:"1" max:"1000000"`
+	// StoreCalls bounds the calls of a managed platform's store, a second. Calls
+	// over it wait; twice as many may come at once.
+	StoreCalls int `json:"store_calls" unit:"calls" min:"10" max:"100000"`
 	// RequestTime bounds a request from its arrival to its last byte.
 	RequestTime config.Duration `json:"request_time" min:"1s" max:"24h"`
 	// Processors bounds the processors that the program uses at a time. Each
@@ -165,6 +168,7 @@
 			AnswerBytes: 64 << 20,
 			Connections: 10_000,
 			InFlight:    4_000,
+			StoreCalls:  150,
 			RequestTime: config.Duration(5 * time.Minute),
 			Processors:  4,
 		},
