lease: a restarted process takes its own lease back at once

For 4 s no engine was moved to a version that steps were waiting for.

Where acts with an older epoch are refused by their receivers, as on this platform, a process may take the lease of an earlier incarnation of its name. A later one's it may not, so that two that both run can't alternate.

TestTakeBack fails without the change.

--- a/controller/leases/runner.go
+++ b/controller/leases/runner.go
@@ -35,8 +35,11 @@
 	// ActTime is the longest time that a request to the platform may be under
 	// way after its last byte was written. Zero means a fifth of Duration.
 	ActTime time.Duration
-	Log     *slog.Logger
-	Metrics tally.Scope
+	// TakeBack says that a lease of an earlier process of this name is acquired
+	// at once; see lease.Config.
+	TakeBack bool
+	Log      *slog.Logger
+	Metrics  tally.Scope
 }
 
 func (o Options) withDefaults() Options {
@@ -101,6 +104,7 @@
 			Incarnation: o.Incarnation,
 			Duration:    o.Duration,
 			ActTime:     o.ActTime,
+			TakeBack:    o.TakeBack,
 		}),
 		acquired: scope.Counter("lease_acquired"),
 		failed:   scope.Counter("lease_call_failed"),
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -121,7 +121,7 @@
 	})
 	m.keeper = leases.NewKeeper(leases.Options{
 		Tables: deps.Platform.Own, Clock: deps.Clock, Holder: s.Name, Incarnation: m.incarnation,
-		Duration: time.Duration(s.Timing.LeaseDuration), Log: deps.Log, Metrics: deps.Scope,
+		Duration: time.Duration(s.Timing.LeaseDuration), TakeBack: true, Log: deps.Log, Metrics: deps.Scope,
 	}, m.views)
 	m.models = models.New(models.Options{
 		Engines: deps.Platform.Engines, Keeper: m.keeper, Views: m.views, Clock: deps.Clock,
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -63,6 +63,11 @@
 	// ActTime is the longest time that an act may be under way after the last
 	// check before it; by default a fifth of Duration.
 	ActTime time.Duration
+	// TakeBack lets a process acquire at once the lease of an earlier process of
+	// its name, which is one with a lower Incarnation. Set it only where acts
+	// with an older epoch are refused wherever they arrive: the earlier process
+	// may still run, or have acts under way.
+	TakeBack bool
 }
 
 func (c Config) withDefaults() Config {
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -178,6 +178,8 @@
 	switch {
 	case m.version == 0:
 		return m.nextWrite
+	case !m.row.Released && m.isEarlierSelf():
+		return m.nextWrite
 	case !m.row.Released:
 		return max(m.nextWrite, m.since+max(m.row.Wait, m.cfg.outwait()))
 	case m.row.Next == "" || m.row.Next == m.cfg.Holder:
@@ -186,6 +188,13 @@
 	return max(m.nextWrite, m.since+m.cfg.Duration)
 }
 
+// isEarlierSelf reports whether the holder is an earlier process of this name
+// whose lease may be taken. Of two processes that both run only the later one
+// may, so that the lease does not go back and forth.
+func (m *Machine) isEarlierSelf() bool {
+	return m.cfg.TakeBack && m.row.Holder == m.cfg.Holder && m.row.Incarnation < m.cfg.Incarnation
+}
+
 // mine reports whether the row was last seen held by this process. The term
 // may have ended all the same.
 func (m *Machine) mine() bool {
--- /dev/null
+++ b/lease/takeback_test.go
@@ -0,0 +1,45 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cumincove/cumincove/lease"
+)
+
+// TestTakeBack: a process acquires the lease of an earlier process of its name
+// at once, and that of a later one or of another name only after its wait.
+func TestTakeBack(t *testing.T) {
+	const incarnation = 5
+	cases := []struct {
+		name   string
+		row    lease.Row
+		off    bool
+		atOnce bool
+	}{
+		{name: "an earlier process of its name", row: lease.Row{Holder: "a", Incarnation: 4}, atOnce: true},
+		{name: "a later process of its name", row: lease.Row{Holder: "a", Incarnation: 6}},
+		{name: "another name", row: lease.Row{Holder: "b", Incarnation: 4}},
+		{name: "not set", row: lease.Row{Holder: "a", Incarnation: 4}, off: true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			m := lease.New(lease.Config{Holder: "a", Incarnation: incarnation, Duration: 3 * time.Second, TakeBack: !tc.off})
+			m.Want(true, "")
+			m.Tick(0)
+			tc.row.Epoch, tc.row.Wait = 7, 3*time.Second
+			m.Step(0, lease.ReadDone{Row: tc.row, Version: 9})
+			actions := m.Tick(time.Millisecond)
+			if len(actions) == 0 {
+				if tc.atOnce {
+					t.Error("the lease is not acquired")
+				}
+				return
+			}
+			w, ok := actions[0].(lease.Write)
+			if ok != tc.atOnce || ok && (!w.Acquire || w.Row.Epoch != 8) {
+				t.Errorf("asks for %+v", actions[0])
+			}
+		})
+	}
+}
