Leases stay with their holder; a new reporter waits only after an outage

A lease now moves to the preferred holder after ten terms, and a reporter waits for two flushes since the last outage that it knows of (intent.Steady), not since it got the lease. Ruled out: the time for a window's grace, calls of the duty's interface (none failed).

TestHandOverInSteadyTimes fails without the change.

--- a/controller/intent/controller.go
+++ b/controller/intent/controller.go
@@ -45,9 +45,11 @@
 	o Options
 	// readAt is when the last successful read of the intent was started, in
 	// boot time; zero is never.
-	readAt  atomic.Int64
-	weights atomic.Pointer[map[string]uint64]
-	hurry   chan struct{}
+	readAt atomic.Int64
+	// steadySince is when the store first answered after the last outage.
+	steadySince atomic.Int64
+	weights     atomic.Pointer[map[string]uint64]
+	hurry       chan struct{}
 	// listedAt is when the endpoints were last read, and keepUntil until when
 	// those that are missing are kept. Only one goroutine uses them.
 	listedAt, keepUntil time.Duration
@@ -143,11 +145,27 @@
 	c.noteWeights(intent.Weights)
 	if intent.Config != nil {
 		c.install(intent.Config)
-		c.readAt.Store(int64(began))
+		c.noteRead(began)
 	}
 	return nil
 }
 
+// noteRead notes a successful read and whether it ends an outage.
+func (c *Controller) noteRead(began time.Duration) {
+	before := time.Duration(c.readAt.Swap(int64(began)))
+	if before == 0 || began-before > outageTime {
+		c.steadySince.Store(int64(c.o.Clock.Now()))
+	}
+}
+
+// Steady is for how long the store has answered without an outage.
+func (c *Controller) Steady() time.Duration {
+	if c.readAt.Load() == 0 {
+		return 0
+	}
+	return c.o.Clock.Now() - time.Duration(c.steadySince.Load())
+}
+
 // install puts a configuration into the snapshot, never an older one.
 func (c *Controller) install(s *config.State) {
 	old := c.o.Views.Load().Config
--- a/controller/leases/keeper.go
+++ b/controller/leases/keeper.go
@@ -12,8 +12,14 @@
 	"github.com/cumincove/cumincove/view"
 )
 
-// candidates is how many instances try to hold one lease.
-const candidates = 3
+const (
+	// candidates is how many instances try to hold one lease.
+	candidates = 3
+	// patience is for how many terms an instance must be the preferred holder
+	// before a lease moves to it: a move costs time without a holder, and
+	// members come and go at every outage.
+	patience = 10
+)
 
 // Keeper runs the leases of all duties and spreads them over the members.
 type Keeper struct {
@@ -118,8 +124,7 @@
 }
 
 // assign tells a Runner its part in the duty. A new preferred holder counts only
-// once it stayed the same for a term, so that a member that comes and goes
-// does not move the lease each time.
+// once it stayed the same for some terms.
 func (k *Keeper) assign(r *Runner) {
 	ranked := k.rank(r.duty)
 	self := slices.Index(ranked, k.o.Holder)
@@ -132,7 +137,7 @@
 		role.Preferred = role.Successor
 	case p.name != ranked[0]:
 		k.preferred[r.duty] = preference{name: ranked[0], since: now}
-	case now-p.since >= k.o.Duration:
+	case now-p.since >= patience*k.o.Duration:
 		role.Preferred = p.name
 	}
 	r.Assign(role)
--- a/controller/usage/controller.go
+++ b/controller/usage/controller.go
@@ -38,6 +38,9 @@
 	Window time.Duration
 	// Flush is the period between two writes of this instance's totals.
 	Flush time.Duration
+	// Steady, if set, tells for how long the store has answered this instance
+	// without an outage. Nil stands for the time since it got the duty.
+	Steady func() time.Duration
 	// Grace is how long after its end a window is closed; zero stands for the
 	// time of two flushes.
 	Grace time.Duration
--- a/controller/usage/seal.go
+++ b/controller/usage/seal.go
@@ -22,9 +22,9 @@
 		c.term = term.Epoch
 		c.since = time.Now()
 	}
-	// A new term may follow an outage. Let the instances write what they have
-	// first, or it will be late.
-	if time.Since(c.since) < 2*c.o.Flush {
+	// After an outage let the instances write what they have first, or it will
+	// be late.
+	if c.steady() < 2*c.o.Flush {
 		return
 	}
 	c.sealer.Wake()
@@ -37,6 +37,14 @@
 	}
 }
 
+// steady is the time since the last outage that this instance knows of.
+func (c *Controller) steady() time.Duration {
+	if c.o.Steady != nil {
+		return c.o.Steady()
+	}
+	return time.Since(c.since)
+}
+
 func (c *Controller) sealCall(ctx context.Context, a any) any {
 	var read any
 	err := c.duty.Do(ctx, func(ctx context.Context, epoch uint64) (err error) {
--- a/controller/usage/takeover_test.go
+++ b/controller/usage/takeover_test.go
@@ -1,6 +1,7 @@
 package usage_test
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,3 +41,31 @@
 		})
 	}
 }
+
+// TestHandOverInSteadyTimes: a new holder that knows of no outage reports what is
+// due at once, and doesn't wait for the others to write what they have.
+func TestHandOverInSteadyTimes(t *testing.T) {
+	const length, grace = 5 * time.Second, 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		fake := fakeplatform.New(fakeplatform.Options{})
+		o := timing{
+			lease: 3 * time.Second, window: length, flush: time.Second, grace: grace,
+			steady: func() time.Duration { return time.Hour },
+		}
+		a, b := startWith(t, fake, 0, o), startWith(t, fake, 1, o)
+		time.Sleep(4*length + grace - 100*time.Millisecond) // just before a window is closed
+		due := len(fake.Record().Reports) + 1
+		holder, other := a, b
+		if r := fake.Record().Reports; r[len(r)-1].Holder != "i0" {
+			holder, other = b, a
+		}
+		defer other.stop()
+		var stopping sync.WaitGroup
+		defer stopping.Wait()
+		stopping.Go(holder.stop)
+		time.Sleep(2*o.flush - 100*time.Millisecond)
+		if got := len(fake.Record().Reports); got < due {
+			t.Errorf("%d windows are reported, want %d", got, due)
+		}
+	})
+}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -138,7 +138,7 @@
 		Reports: deps.Platform.Usage, Keeper: m.keeper,
 		Holder: s.Name, Incarnation: m.incarnation, Log: deps.Log, Metrics: deps.Scope,
 		Window: time.Duration(s.Timing.UsageWindow), Flush: time.Duration(s.Timing.UsageFlush),
-		Grace: time.Duration(s.Timing.UsageGrace),
+		Grace: time.Duration(s.Timing.UsageGrace), Steady: m.intent.Steady,
 	})
 	m.newRequestParts()
 	m.steps = steps.New(steps.Options{
