--- a/controller/leases/runner.go
+++ b/controller/leases/runner.go
@@ -84,6 +84,7 @@
 	acquired tally.Counter
 	failed   tally.Counter
 	held     tally.Gauge
+	written  tally.Timer
 }
 
 // NewRunner returns a Runner that is no candidate yet.
@@ -109,6 +110,7 @@
 		acquired: scope.Counter("lease_acquired"),
 		failed:   scope.Counter("lease_call_failed"),
 		held:     scope.Gauge("lease_held"),
+		written:  scope.Timer("lease_write"),
 	}
 }
 
@@ -301,7 +303,9 @@
 	if w.Acquire {
 		ops = append(ops, infra.PutIf(r.duty.FenceKey(), w.Row.Epoch-1, value))
 	}
+	began := r.o.Clock.Now()
 	err = r.o.Table.Commit(ctx, ops...)
+	r.written.Record(r.o.Clock.Now() - began)
 	o := infra.EffectOf(err)
 	if o == effect.None || o == effect.Unknown {
 		r.failedCall("write", err)
--- a/controller/models/controller.go
+++ b/controller/models/controller.go
@@ -182,9 +182,11 @@
 	err := c.duty.Do(ctx, func(ctx context.Context, epoch uint64) error {
 		return c.order(ctx, e, load, epoch)
 	})
+	took := c.o.Clock.Now() - began
 	c.o.Log.Info("weights ordered", "endpoint", load.Engine, "model", load.Model, "version", load.Version,
-		"before", e.Weights[load.Model], "took", c.o.Clock.Now()-began, "error", err)
+		"before", e.Weights[load.Model], "took", took, "error", err)
 	c.o.Scope.Counter("weight_orders").Inc(1)
+	c.o.Scope.Timer("weight_order").Record(took)
 	if err == nil || errors.Is(err, infra.ErrUnknownOutcome) {
 		return
 	}
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -47,7 +47,7 @@
 	next   uint64
 	seen   map[string]sighting
 	urge   chan struct{}
-	lastOK time.Duration
+	lastOK atomic.Int64 // when the rows were last read, in time of the clock
 	synced atomic.Bool
 }
 
@@ -68,6 +68,11 @@
 // Synced reports whether the rows were read at least once.
 func (c *Controller) Synced() bool { return c.synced.Load() }
 
+// Age is the time since the rows were last read.
+func (c *Controller) Age() time.Duration {
+	return c.o.Clock.Now() - time.Duration(c.lastOK.Load())
+}
+
 // Urge has this instance's row written at once.
 func (c *Controller) Urge() {
 	select {
@@ -152,8 +157,7 @@
 // take notes which rows changed. After a time without reads every row gets its
 // full time again.
 func (c *Controller) take(now time.Duration) {
-	gap := now-c.lastOK > 2*c.o.Period+callTimeout
-	c.lastOK = now
+	gap := now-time.Duration(c.lastOK.Swap(int64(now))) > 2*c.o.Period+callTimeout
 	for name := range c.seen {
 		if _, ok := c.rows[name]; !ok {
 			delete(c.seen, name)
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +106,22 @@
 	return len(c.runners)
 }
 
+// Samples counts the samples of the steps that this instance runs: those with a
+// stream, and those that wait for one.
+func (c *Controller) Samples() (running, waiting int) {
+	c.mu.Lock()
+	list := slices.Collect(maps.Values(c.runners))
+	c.mu.Unlock()
+	for _, r := range list {
+		r.mu.Lock()
+		p := r.step.Progress()
+		r.mu.Unlock()
+		running += p.Running
+		waiting += p.Waiting
+	}
+	return running, waiting
+}
+
 // table returns the part of a step.
 func (c *Controller) table(id string) infra.Table { return c.o.Steps.Part(id) }
 
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -164,12 +164,15 @@
 	err := r.c.o.Engines.Generate(ctx, r.generation(e, a), func(ev infra.Event) error {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		events++
+		if events++; events == 1 {
+			r.c.o.Scope.Timer("sample_first_event").Record(r.c.o.Clock.Now() - began)
+		}
 		return r.step.Event(a.Run, ev.Index, ev.Text, ev.Version)
 	})
 	e.Stats.InFlight.Add(-1)
 	end := endOf(err)
 	now := r.c.o.Clock.Now()
+	r.c.o.Scope.Timer("sample_stream").Record(now - began)
 	if end != durable.Whole && ctx.Err() == nil {
 		r.log.Info("sample stream ended early", "sample", a.Sample.ID, "endpoint", e.Name,
 			"after", a.After, "events", events, "took", now-began, "error", err)
--- a/filter/entry.go
+++ b/filter/entry.go
@@ -14,6 +14,7 @@
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/code"
+	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/engine"
 	"github.com/cumincove/cumincove/view"
 	"github.com/google/uuid"
@@ -42,7 +43,8 @@
 	// Refuse, if set, answers a request that failed in place of WriteError.
 	Refuse func(w http.ResponseWriter, r *Request, err error)
 
-	counters sync.Map // code.Number to tally.Counter
+	counters sync.Map // requestKind to tally.Counter
+	teams    sync.Map // team's name to *teamCounters
 }
 
 // ServeHTTP gives the request an ID and a snapshot, runs the chain, and
@@ -109,7 +111,8 @@
 	if err != nil {
 		n = asCode(err).Number
 	}
-	e.counter(n).Inc(1)
+	e.counter(requestKind{n, r.Route.Kind}).Inc(1)
+	e.countTeam(r.Team, n)
 	switch {
 	case e.Age != nil:
 		e.logTrail(r, n, err)
@@ -125,7 +128,9 @@
 	if !known {
 		age = -1
 	}
-	e.Scope.Tagged(map[string]string{"kind": string(r.Route.Kind)}).Timer("request").Record(now - r.Arrived)
+	scope := e.Scope.Tagged(map[string]string{"kind": string(r.Route.Kind)})
+	scope.Timer("request").Record(now - r.Arrived)
+	scope.Timer("queue").Record(r.Trail.Waited)
 	log := r.Logger().With("route", r.Route.Name, "service", r.Service.Name,
 		"config", r.View.Config.Version, "config_age", age, "endpoint", r.Trail.Endpoint,
 		"attempts", r.Trail.Attempts, "status", r.Trail.Status, "waited", r.Trail.Waited,
@@ -137,19 +142,46 @@
 	log.Info("request served")
 }
 
-// counter returns the counter of the requests that ended with a code.
-func (e *Entry) counter(n code.Number) tally.Counter {
-	if c, ok := e.counters.Load(n); ok {
+// requestKind is what requests are counted by.
+type requestKind struct {
+	code code.Number
+	kind config.RouteKind
+}
+
+// counter returns the counter of the requests of one kind.
+func (e *Entry) counter(k requestKind) tally.Counter {
+	if c, ok := e.counters.Load(k); ok {
 		return c.(tally.Counter)
 	}
 	c := e.Scope.Tagged(map[string]string{
-		"code": strconv.Itoa(int(n)),
-		"name": code.Lookup(n).Name,
+		"code": strconv.Itoa(int(k.code)),
+		"name": code.Lookup(k.code).Name,
+		"kind": string(k.kind),
 	}).Counter("requests")
-	e.counters.Store(n, c)
+	e.counters.Store(k, c)
 	return c
 }
 
+type teamCounters struct{ all, failed tally.Counter }
+
+// countTeam counts a request of a team. Teams' names are those of the
+// configuration, so that their number is bounded.
+func (e *Entry) countTeam(team string, n code.Number) {
+	if team == "" {
+		return
+	}
+	v, ok := e.teams.Load(team)
+	if !ok {
+		scope := e.Scope.Tagged(map[string]string{"team": team})
+		v, _ = e.teams.LoadOrStore(team, &teamCounters{scope.Counter("team_requests"), scope.Counter("team_requests_failed")})
+	}
+	c := v.(*teamCounters)
+	c.all.Inc(1)
+	if n != code.OK {
+		c.failed.Inc(1)
+	}
+}
+
 // WriteError answers with a coded error.
 func WriteError(w http.ResponseWriter, requestID string, err error) {
 	ce := asCode(err)
--- /dev/null
+++ b/internal/daemon/gauges.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"time"
+)
+
+// gaugePeriod is the time between two updates of the gauges.
+const gaugePeriod = time.Second
+
+// gauges exports what a Managed has under way and how old its beliefs are.
+type gauges struct{ m *Managed }
+
+// Run updates the gauges until ctx ends.
+func (g gauges) Run(ctx context.Context) error {
+	tick := time.NewTicker(gaugePeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			g.update()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g gauges) update() {
+	m := g.m
+	scope := m.d.Scope
+	now := m.d.Clock.Now()
+	if age, known := m.intent.Age(now); known {
+		scope.Gauge("config_age_seconds").Update(age.Seconds())
+	}
+	v := m.views.Load()
+	scope.Gauge("config_version").Update(float64(v.Config.Version))
+	scope.Gauge("members").Update(float64(len(v.Members)))
+	scope.Gauge("members_age_seconds").Update(m.presence.Age().Seconds())
+	running, waiting := m.steps.Samples()
+	scope.Gauge("steps_open").Update(float64(m.steps.Open()))
+	scope.Gauge("samples_running").Update(float64(running))
+	scope.Gauge("samples_waiting").Update(float64(waiting))
+	scope.Gauge("requests_in_flight").Update(float64(m.inFlight.Load()))
+}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -187,6 +187,7 @@
 		m.dispatcher,
 		m.d.Pool,
 		m.revocations,
+		gauges{m},
 	}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"log/slog"
+	"math"
 	"net/http"
 	"time"
 
@@ -19,6 +20,14 @@
 // prefix starts the name of every metric.
 const prefix = "cumincove"
 
+// The buckets of latency histograms: two for each doubling, from a millisecond
+// to two minutes, so that a figure is off by a factor of 1.2 at most.
+const (
+	firstBucket  = 0.001 // seconds
+	bucketFactor = math.Sqrt2
+	bucketCount  = 35
+)
+
 // New returns, with a registry of its own so that several instances fit into
 // one process, the root scope of an instance, the handler that serves it in
 // Prometheus' text format, and what to close at the end.
@@ -29,6 +38,9 @@
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry,
 		Gatherer:   registry,
+
+		DefaultTimerType:        prometheus.HistogramTimerType,
+		DefaultHistogramBuckets: prom.ExponentialBuckets(firstBucket, bucketFactor, bucketCount),
 		OnRegisterError: func(err error) {
 			slog.Error("metric not registered", "instance", instance, "error", err)
 		},
