Shutdown: steps are given away beside the draining, to the end of its time

A hand-over that waits for a store that is down took the whole time of a shutdown, so that nothing was left to drain connections.

--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -205,7 +206,9 @@
 }
 
 // shutdown withholds this instance from callers, gives its steps away, and
-// finishes what callers still send, all within the time for a shutdown.
+// finishes what callers still send, all within the time for a shutdown. While the
+// store is down, steps can't be given away: they are kept to the end of that time,
+// as what was not saved would be lost.
 func (m *Managed) shutdown(failed context.Context, servers []*server) {
 	began := m.d.Clock.Now()
 	m.leaving.Store(true)
@@ -213,7 +216,9 @@
 	m.presence.Urge()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(m.d.Settings.Timing.Shutdown))
 	defer cancel()
-	m.steps.HandOver(ctx)
+	var handOver sync.WaitGroup
+	defer handOver.Wait()
+	handOver.Go(func() { m.steps.HandOver(ctx) })
 	linger := time.NewTimer(time.Duration(m.d.Settings.Timing.EntriesKeep) + leaveMargin - (m.d.Clock.Now() - began))
 	defer linger.Stop()
 	select {
