cumincovectl rows: members, leases, steps and configuration from the store

Played over TCP against the stand-in in TestWholePath. The function that calls scoring services is a type of its own; Hurry, kick and over have plainer names; singleVersion takes what it reads.

--- a/cmd/cumincovectl/main.go
+++ b/cmd/cumincovectl/main.go
@@ -2,9 +2,16 @@
 package main
 
 import (
+	"log/slog"
+	"net"
 	"os"
 
+	"github.com/cumincove/cumincove/attempt"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/ctl"
+	"github.com/cumincove/cumincove/platform"
+	"github.com/cumincove/cumincove/settings"
+	"github.com/uber-go/tally/v4"
 )
 
 func main() {
@@ -13,5 +20,19 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Getenv: os.Getenv,
+
+		Managed: managed,
 	}))
 }
+
+func managed(s settings.Settings) infra.Managed {
+	return platform.New(platform.Options{
+		StoreURL:   s.Platform.URL,
+		DutiesURL:  s.Platform.DutiesURL,
+		StoreCalls: s.Limits.StoreCalls,
+		Dial:       new(net.Dialer).DialContext,
+		Pool:       attempt.NewPool(attempt.DefaultOptions()),
+		Log:        slog.New(slog.DiscardHandler),
+		Scope:      tally.NoopScope,
+	})
+}
--- a/controller/intent/controller.go
+++ b/controller/intent/controller.go
@@ -49,7 +49,7 @@
 	// steadySince is when the store first answered after the last outage.
 	steadySince atomic.Int64
 	weights     atomic.Pointer[map[string]uint64]
-	hurry       chan struct{}
+	readNow     chan struct{}
 	// listedAt is when the endpoints were last read, and keepUntil until when
 	// those that are missing are kept. Only one goroutine uses them.
 	listedAt, keepUntil time.Duration
@@ -57,7 +57,7 @@
 
 // New returns a Controller.
 func New(o Options) *Controller {
-	c := &Controller{o: o, hurry: make(chan struct{}, 1)}
+	c := &Controller{o: o, readNow: make(chan struct{}, 1)}
 	c.weights.Store(&map[string]uint64{})
 	return c
 }
@@ -85,23 +85,24 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.loop(ctx, "replicas", c.readReplicas, c.hurry)
+		c.loop(ctx, "replicas", c.readReplicas, c.readNow)
 	}()
 	c.loop(ctx, "intent", c.readIntent, nil)
 	<-done
 	return nil
 }
 
-// Hurry has the endpoints read at once.
-func (c *Controller) Hurry() {
+// ReadEndpoints has the endpoints read at once.
+func (c *Controller) ReadEndpoints() {
 	select {
-	case c.hurry <- struct{}{}:
+	case c.readNow <- struct{}{}:
 	default:
 	}
 }
 
-// loop calls read once a period, or when it is hurried, and logs when it begins or ceases to fail.
-func (c *Controller) loop(ctx context.Context, what string, read func(context.Context) error, hurry <-chan struct{}) {
+// loop calls read once a period, and when now tells to, and logs when it begins or
+// ceases to fail.
+func (c *Controller) loop(ctx context.Context, what string, read func(context.Context) error, now <-chan struct{}) {
 	tick := time.NewTicker(c.o.Poll)
 	defer tick.Stop()
 	failing := false
@@ -118,7 +119,7 @@
 		}
 		select {
 		case <-tick.C:
-		case <-hurry:
+		case <-now:
 		case <-ctx.Done():
 			return
 		}
--- a/controller/leases/duty.go
+++ b/controller/leases/duty.go
@@ -11,6 +11,8 @@
 	Orders = "orders"
 	// Usage seals and reports usage windows.
 	Usage = "usage"
+	// Weights moves engines to the named weight versions.
+	Weights = "weights"
 )
 
 // Duty is a job that one instance does at a time.
--- a/controller/leases/status.go
+++ b/controller/leases/status.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"context"
+	"fmt"
 	"slices"
 
 	"github.com/cumincove/cumincove/api"
+	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/lease"
 )
 
 // Status lists the leases that this instance takes part in, by duty. Holder and
@@ -34,3 +38,13 @@
 		Mine:       mine,
 	}
 }
+
+// Read reads the lease of a duty whose rows lie in a part of its own. Nobody has
+// held it yet if the epoch is zero.
+func Read(ctx context.Context, tables infra.Tables, d Duty) (lease.Row, error) {
+	var row lease.Row
+	if _, err := infra.GetJSON(ctx, tables.Part(d.String()), d.Key(), &row); err != nil {
+		return lease.Row{}, fmt.Errorf("read lease of %s: %w", d, err)
+	}
+	return row, nil
+}
--- a/controller/models/controller.go
+++ b/controller/models/controller.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// dutyName is the duty of the instance that gives the orders.
-	dutyName = "weights"
 	// lookPeriod is the time between two looks at what is due.
 	lookPeriod = 100 * time.Millisecond
 	// demandPeriod is the time between two reads of the demand.
@@ -46,13 +44,13 @@
 	Log    *slog.Logger
 	Scope  tally.Scope
 	Holder string
-	// Hurry has the endpoints' rows read at once.
-	Hurry func()
+	// ReadEndpoints has the endpoints' rows read at once.
+	ReadEndpoints func()
 	// Named returns the named version of each model.
 	Named func() map[string]uint64
-	// SingleVersion reports whether samples of a model must be generated under
-	// one version, so that a load has to wait for those that run.
-	SingleVersion func(v *view.View, model string) bool
+	// SingleVersion reports whether samples must be generated under one version,
+	// so that a load has to wait for those that run.
+	SingleVersion func(v *view.View) bool
 }
 
 // Controller gives the orders while it holds the duty.
@@ -76,7 +74,7 @@
 
 // New returns a Controller.
 func New(o Options) *Controller {
-	return &Controller{o: o, duty: o.Keeper.Runner(leases.Duty{Name: dutyName}), ordered: map[string]order{}}
+	return &Controller{o: o, duty: o.Keeper.Runner(leases.Duty{Name: leases.Weights}), ordered: map[string]order{}}
 }
 
 // Run works until ctx ends.
@@ -126,7 +124,7 @@
 	defer c.mu.Unlock()
 	loading := c.settle(v, now)
 	if loading > 0 {
-		c.o.Hurry()
+		c.o.ReadEndpoints()
 	}
 	goal := Goal{Named: c.o.Named(), Demand: c.demand}
 	engines := enginesOf(v)
@@ -210,7 +208,7 @@
 	}
 	return c.o.Engines.Order(ctx, infra.WeightOrder{
 		Engine: ref, Model: load.Model, Version: load.Version,
-		KeepRuns: !c.o.SingleVersion(c.o.Views.Load(), load.Model),
+		KeepRuns: !c.o.SingleVersion(c.o.Views.Load()),
 		Expected: report.Orders, Holder: c.o.Holder, Epoch: epoch,
 	})
 }
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -180,11 +180,7 @@
 		if now-s.since > c.o.Lapse {
 			continue
 		}
-		members[name] = view.Member{
-			Name: name, Incarnation: s.row.Incarnation, DataCentre: s.row.DataCentre,
-			PeerAddr: s.row.PeerAddr, CallerAddr: s.row.CallerAddr,
-			Leaving: s.row.Leaving, InFlight: s.row.InFlight,
-		}
+		members[name] = s.row.member(name)
 		if name == c.o.Self.Name {
 			continue
 		}
--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -1,12 +1,15 @@
 package presence
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
 
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/view"
 )
 
 const (
@@ -61,3 +64,31 @@
 		}
 	}
 }
+
+// List reads the rows of all instances, in order of name. They tell what each
+// instance last wrote, not whether it lives.
+func List(ctx context.Context, feed infra.Feed) ([]view.Member, error) {
+	changes, err := feed.Changes(ctx, 0)
+	if err != nil {
+		return nil, fmt.Errorf("read members: %w", err)
+	}
+	var members []view.Member
+	for _, change := range changes.Rows {
+		name, ok := strings.CutPrefix(change.Key, prefix)
+		var r row
+		if !ok || json.Unmarshal(change.Value, &r) != nil {
+			continue
+		}
+		members = append(members, r.member(name))
+	}
+	slices.SortFunc(members, func(a, b view.Member) int { return strings.Compare(a.Name, b.Name) })
+	return members, nil
+}
+
+func (r row) member(name string) view.Member {
+	return view.Member{
+		Name: name, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
+		PeerAddr: r.PeerAddr, CallerAddr: r.CallerAddr,
+		Leaving: r.Leaving, InFlight: r.InFlight,
+	}
+}
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -28,9 +28,9 @@
 	spec         durable.Spec
 	t            infra.Table
 	ownerVersion uint64
-	kick         chan struct{}
-	// over ends the runner.
-	over context.CancelFunc
+	wake         chan struct{}
+	// stop ends the runner.
+	stop context.CancelFunc
 	// done is closed when it has ended.
 	done chan struct{}
 
@@ -53,8 +53,8 @@
 		spec:         step.Spec(),
 		t:            t,
 		ownerVersion: ownerVersion,
-		kick:         make(chan struct{}, 1),
-		over:         func() {},
+		wake:         make(chan struct{}, 1),
+		stop:         func() {},
 		done:         make(chan struct{}),
 		step:         step,
 		streams:      map[durable.RunID]context.CancelFunc{},
@@ -68,7 +68,7 @@
 func (r *runner) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
-	r.over = cancel
+	r.stop = cancel
 	r.mu.Unlock()
 	var wg sync.WaitGroup
 	defer close(r.done)
@@ -88,7 +88,7 @@
 		timer.Reset(pause)
 		select {
 		case <-timer.C:
-		case <-r.kick:
+		case <-r.wake:
 		case <-ctx.Done():
 		}
 	}
@@ -103,7 +103,7 @@
 
 func (r *runner) look() {
 	select {
-	case r.kick <- struct{}{}:
+	case r.wake <- struct{}{}:
 	default:
 	}
 }
@@ -291,7 +291,7 @@
 		}
 	}
 	r.mu.Lock()
-	r.over()
+	r.stop()
 	r.mu.Unlock()
 	select {
 	case <-r.done:
--- a/controller/steps/runner_store.go
+++ b/controller/steps/runner_store.go
@@ -138,7 +138,7 @@
 	r.log.Warn("step lost", "owner", s.owner.Instance, "incarnation", s.owner.Incarnation)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.over()
+	r.stop()
 }
 
 func (r *runner) stored(b *durable.Batch, began time.Duration) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/cumincove/cumincove/api"
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 	"github.com/cumincove/cumincove/settings"
 )
@@ -22,6 +23,9 @@
 	Stdout io.Writer
 	Stderr io.Writer
 	Getenv func(string) string
+	// Managed reaches the platform that the settings of a managed deployment
+	// name.
+	Managed func(s settings.Settings) infra.Managed
 }
 
 const appHelp = `Operates a cumincove system: states what is wanted and shows what is.
@@ -143,6 +147,7 @@
 		"steps":   newSteps(app),
 		"explain": newExplain(app),
 		"trace":   newTrace(app),
+		"rows":    newRows(app),
 	}
 	key := app.Command("key", "Grants and withdraws keys.")
 	commands["key create"] = newKeyCreate(key)
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -18,7 +18,6 @@
 	"github.com/cumincove/cumincove/controller/steps"
 	"github.com/cumincove/cumincove/controller/usage"
 	"github.com/cumincove/cumincove/dispatch"
-	"github.com/cumincove/cumincove/durable"
 	"github.com/cumincove/cumincove/fairqueue"
 	"github.com/cumincove/cumincove/filter"
 	"github.com/cumincove/cumincove/infra"
@@ -127,8 +126,8 @@
 	m.models = models.New(models.Options{
 		Engines: deps.Platform.Engines, Keeper: m.keeper, Views: m.views, Clock: deps.Clock,
 		Log: deps.Log, Scope: deps.Scope, Holder: s.Name,
-		Demand: func(ctx context.Context) (map[string]float64, error) { return m.steps.Demand(ctx) },
-		Hurry:  m.intent.Hurry, Named: m.intent.Weights, SingleVersion: singleVersion,
+		Demand:        func(ctx context.Context) (map[string]float64, error) { return m.steps.Demand(ctx) },
+		ReadEndpoints: m.intent.ReadEndpoints, Named: m.intent.Weights, SingleVersion: singleVersion,
 	})
 	m.scaling = scaling.New(scaling.Options{
 		Scaler: deps.Platform.Scaler, Keeper: m.keeper,
@@ -155,7 +154,7 @@
 
 // singleVersion reports whether any rollout route takes samples of one version
 // only. Routes don't name their models.
-func singleVersion(v *view.View, _ string) bool {
+func singleVersion(v *view.View) bool {
 	for _, r := range v.Config.Routes {
 		if r.SingleVersion {
 			return true
@@ -236,9 +235,9 @@
 
 // score returns the function that calls a scoring service by its route.
 func (m *Managed) score() steps.ScoreFunc {
-	chain := filter.Chain(m.attempt(nil), filter.Route{Inner: true})
-	stamp := m.d.Adapter.Dialect().StampHeader
-	return func(ctx context.Context, s durable.Scorer) (string, durable.ScoreEnd) {
-		return score(ctx, m, chain, stamp, s)
+	sc := scorer{
+		views: m.views, clock: m.d.Clock, log: m.d.Log, stamp: m.d.Adapter.Dialect().StampHeader,
+		chain: filter.Chain(m.attempt(nil), filter.Route{Inner: true}),
 	}
+	return sc.score
 }
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -1,20 +1,14 @@
 package daemon
 
 import (
-	"bytes"
-	"context"
 	"net/http"
 	"time"
 
 	"github.com/cumincove/cumincove/config"
-	"github.com/cumincove/cumincove/durable"
 	"github.com/cumincove/cumincove/filter"
 	"github.com/cumincove/cumincove/view"
 )
 
-// scoreTime bounds one call of a scoring service.
-const scoreTime = 5 * time.Second
-
 // requests serves requests by route.
 func (m *Managed) requests(submit filter.HandlerFunc) http.Handler {
 	attempt := m.attempt(m.usage.Windows().Began)
@@ -104,45 +98,6 @@
 	return filter.Body{MaxBytes: m.d.Settings.Limits.BodyBytes, Timeout: bodyTimeout}
 }
 
-// scoreAnswer keeps the status and header of a scoring service's answer; its
-// body tells nothing.
-type scoreAnswer struct {
-	header http.Header
-	status int
-}
-
-func (a *scoreAnswer) Header() http.Header         { return a.header }
-func (a *scoreAnswer) WriteHeader(status int)      { a.status = status }
-func (a *scoreAnswer) Write(p []byte) (int, error) { return len(p), nil }
-
-// score makes one call of a scoring service.
-func score(ctx context.Context, m *Managed, chain filter.Handler, stamp string, s durable.Scorer) (string, durable.ScoreEnd) {
-	ctx, cancel := context.WithTimeout(ctx, scoreTime)
-	defer cancel()
-	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Host+s.Path, nil)
-	if err != nil {
-		m.d.Log.Warn("scoring call is malformed", "call", s.ID, "error", err)
-		return "", durable.ScoreFailed
-	}
-	now := m.d.Clock.Now()
-	r := &filter.Request{
-		Request: hr, ID: s.ID, View: m.views.Load(), Body: bytes.Clone(s.Body),
-		Arrived: now, Deadline: now + scoreTime, Log: m.d.Log,
-	}
-	w := &scoreAnswer{header: http.Header{}}
-	err = chain.ServeHTTP(w, r)
-	switch {
-	case err != nil:
-		m.d.Log.Info("scoring call failed", "call", s.ID, "error", err)
-		return "", durable.ScoreLost
-	case w.status >= 200 && w.status < 300:
-		return w.header.Get(stamp), durable.ScoreDone
-	case w.status == http.StatusInternalServerError:
-		return "", durable.ScoreFailed
-	}
-	return "", durable.ScoreLost
-}
-
 // ready reports whether this instance takes callers.
 func (m *Managed) ready() bool {
 	return !m.leaving.Load() && m.views.Load().Config.Version > 0 && m.presence.Synced() && m.intent.Fresh(m.d.Clock.Now())
