Member rows have a second part, for a store that is down in part

A write that fails is now tried in another part the next time, and of two rows of a name the newer one counts.

TestHalfTheStoreDown fails without the change.

--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -39,8 +39,10 @@
 
 // Controller writes this instance's row and follows the others'.
 type Controller struct {
-	o    Options
-	own  infra.Table
+	o Options
+	// own are the tables that this instance's row may lie in, the one that is
+	// written now first.
+	own  [2]infra.Table
 	beat uint64
 	// rows are as last read, up to position next of the feed.
 	rows   map[string]row
@@ -59,8 +61,9 @@
 
 // New returns a Controller.
 func New(o Options) *Controller {
+	homes := partsOf(o.Self.Name)
 	return &Controller{
-		o: o, own: o.Rows.Part(partOf(o.Self.Name)),
+		o: o, own: [2]infra.Table{o.Rows.Part(homes[0]), o.Rows.Part(homes[1])},
 		rows: map[string]row{}, seen: map[string]sighting{}, urge: make(chan struct{}, 1),
 	}
 }
@@ -94,12 +97,19 @@
 		case <-ctx.Done():
 		}
 	}
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	c.remove(context.WithoutCancel(ctx))
+	return nil
+}
+
+// remove removes this instance's row, from wherever it was written.
+func (c *Controller) remove(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := c.own.Commit(last, infra.Delete(prefix+c.o.Self.Name)); err != nil {
-		c.o.Log.Warn("member row not removed", "error", err)
+	for _, t := range c.own {
+		if err := t.Commit(ctx, infra.Delete(prefix+c.o.Self.Name)); err != nil {
+			c.o.Log.Warn("member row not removed", "error", err)
+		}
 	}
-	return nil
 }
 
 func (c *Controller) write(ctx context.Context) {
@@ -121,7 +131,8 @@
 		c.o.Log.Error("member row not encoded", "error", err)
 		return
 	}
-	if err := c.own.Commit(ctx, infra.Put(prefix+c.o.Self.Name, value)); err != nil {
+	if err := c.own[0].Commit(ctx, infra.Put(prefix+c.o.Self.Name, value)); err != nil {
+		c.own[0], c.own[1] = c.own[1], c.own[0]
 		c.o.Scope.Counter("member_writes_failed").Inc(1)
 		c.o.Log.Debug("member row not written", "error", err)
 	}
--- a/controller/presence/presence_test.go
+++ b/controller/presence/presence_test.go
@@ -207,3 +207,56 @@
 		}
 	})
 }
+
+// halfDown is a family of tables of which half the parts can't be written.
+type halfDown struct {
+	infra.Feed
+	down *atomic.Bool
+}
+
+func (h *halfDown) Part(name string) infra.Table {
+	t := h.Feed.Part(name)
+	if name >= "08" {
+		return t
+	}
+	return &halfDownPart{t, h.down}
+}
+
+type halfDownPart struct {
+	infra.Table
+	down *atomic.Bool
+}
+
+func (p *halfDownPart) Commit(ctx context.Context, ops ...infra.Op) error {
+	if p.down.Load() {
+		return infra.ErrUnavailable
+	}
+	return p.Table.Commit(ctx, ops...)
+}
+
+// TestHalfTheStoreDown: instances go on seeing each other while half of the
+// store's parts can't be written, and after it.
+func TestHalfTheStoreDown(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		fake := fakeplatform.New(fakeplatform.Options{})
+		var down atomic.Bool
+		rows := &halfDown{fake.Tables(), &down}
+		names := []string{"a", "b", "c", "d", "e", "f"}
+		var all []*instance
+		for _, name := range names {
+			in := start(t, rows, name, 1)
+			defer in.stop()
+			all = append(all, in)
+		}
+		time.Sleep(2 * period)
+		for range 3 {
+			down.Store(!down.Load())
+			for range 10 {
+				time.Sleep(period)
+				for _, in := range all {
+					want(t, in, names...)
+				}
+			}
+		}
+	})
+}
--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -34,11 +34,21 @@
 	Streams map[string]int `json:"streams,omitempty"`
 }
 
-// partOf names the part of an instance's row.
-func partOf(name string) string {
+// partsOf names the two parts that an instance's row may lie in. The second one
+// is for when the first one can't be written: a store may be down in part.
+func partsOf(name string) [2]string {
 	h := fnv.New32a()
 	h.Write([]byte(name))
-	return fmt.Sprintf("%02d", h.Sum32()%parts)
+	home := h.Sum32() % parts
+	return [2]string{fmt.Sprintf("%02d", home), fmt.Sprintf("%02d", (home+parts/2)%parts)}
+}
+
+// before reports whether a row was written before another of the same name.
+func (r row) before(other row) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation < other.Incarnation
+	}
+	return r.Beat < other.Beat
 }
 
 // apply takes in what was written since the last read. A row that can't be read
@@ -59,7 +69,7 @@
 		} else if err := json.Unmarshal(change.Value, &r); err != nil {
 			c.o.Log.Warn("member row is unreadable", "row", change.Key, "error", err)
 			delete(c.rows, name)
-		} else {
+		} else if !r.before(c.rows[name]) {
 			c.rows[name] = r
 		}
 	}
