--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 
@@ -51,28 +52,38 @@
 	return r.Beat < other.Beat
 }
 
-// apply takes in what was written since the last read. A row that can't be read
-// is as one that is not there.
+// apply takes in what was written since the last read.
 func (c *Controller) apply(changes infra.Changes) {
 	if changes.Whole {
 		clear(c.rows)
 	}
 	c.next = changes.Next
-	for _, change := range changes.Rows {
+	for _, key := range merge(c.rows, changes.Rows) {
+		c.o.Log.Warn("member row is unreadable", "row", key)
+	}
+}
+
+// merge takes changes into rows by name, of which the newest one counts. It
+// returns the keys of rows that can't be read, which are as if they were not
+// there.
+func merge(rows map[string]row, changes []infra.Change) (unreadable []string) {
+	for _, change := range changes {
 		name, ok := strings.CutPrefix(change.Key, prefix)
 		if !ok {
 			continue
 		}
 		var r row
-		if change.Removed {
-			delete(c.rows, name)
-		} else if err := json.Unmarshal(change.Value, &r); err != nil {
-			c.o.Log.Warn("member row is unreadable", "row", change.Key, "error", err)
-			delete(c.rows, name)
-		} else if !r.before(c.rows[name]) {
-			c.rows[name] = r
+		switch {
+		case change.Removed:
+			delete(rows, name)
+		case json.Unmarshal(change.Value, &r) != nil:
+			unreadable = append(unreadable, change.Key)
+			delete(rows, name)
+		case !r.before(rows[name]):
+			rows[name] = r
 		}
 	}
+	return unreadable
 }
 
 // List reads the rows of all instances, in order of name. They tell what each
@@ -82,16 +93,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("read members: %w", err)
 	}
+	rows := map[string]row{}
+	merge(rows, changes.Rows)
 	var members []view.Member
-	for _, change := range changes.Rows {
-		name, ok := strings.CutPrefix(change.Key, prefix)
-		var r row
-		if !ok || json.Unmarshal(change.Value, &r) != nil {
-			continue
-		}
-		members = append(members, r.member(name))
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		members = append(members, rows[name].member(name))
 	}
-	slices.SortFunc(members, func(a, b view.Member) int { return strings.Compare(a.Name, b.Name) })
 	return members, nil
 }
 
--- a/infra/tables.go
+++ b/infra/tables.go
@@ -20,13 +20,13 @@
 	Changes(ctx context.Context, after uint64) (Changes, error)
 }
 
-// Changes are rows of all parts of a Feed. Keys are to be unique over all parts.
+// Changes are rows of all parts of a Feed. A key may lie in several parts; which of
+// its rows counts is the reader's to tell.
 type Changes struct {
 	// Whole says that these are all rows there are, in place of what was known:
 	// the history since the position is no longer kept.
 	Whole bool
-	// Rows are in the order of their writing; of several of a key the last one
-	// counts.
+	// Rows are in the order of their writing, or in any order if Whole.
 	Rows []Change
 	// Next is the position to go on from.
 	Next uint64
