--- a/internal/ci/ci_test.go
+++ b/internal/ci/ci_test.go
@@ -14,6 +14,19 @@
 func TestPanics(t *testing.T) { panic("out") }
 `
 
+// racy has a test under fake time, through a helper, and a race in another one.
+const racy = `package a
+import ("testing"; "testing/synctest")
+func TestFake(t *testing.T) { helper(t) }
+func helper(t *testing.T) { synctest.Test(t, func(t *testing.T) {}) }
+func TestRace(t *testing.T) {
+	n, done := 0, make(chan struct{})
+	go func() { n++; close(done) }()
+	n++
+	<-done
+}
+`
+
 // runIn runs ci over a module of one package with these tests.
 func runIn(t *testing.T, tests, knownRed string) (bool, string) {
 	t.Helper()
@@ -52,6 +65,7 @@
 		{"no such package", "package a\n", "b TestGone | c | s | 3", false, "matches no package"},
 		{"does not build", "package a\nfunc f() int {}\n", "", false, "missing return"},
 		{"breaks off", "package a\nimport (\"os\"; \"testing\")\nfunc TestExits(t *testing.T) { println(\"last words\"); os.Exit(3) }\n", "", false, "last words"},
+		{"race beside fake time", racy, "", false, "DATA RACE"},
 		{"skipped", "package a\nimport \"testing\"\nfunc TestOff(t *testing.T) { t.Skip() }\n", "", false, "m/a TestOff"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -74,3 +88,14 @@
 		}
 	}
 }
+
+func TestFakeTimeTests(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "a_test.go"), []byte(racy), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	got, err := fakeTimeTests(dir)
+	if err != nil || len(got) != 1 || got[0] != "TestFake" {
+		t.Errorf("fake time: %v, %v", got, err)
+	}
+}
--- a/internal/ci/doc.go
+++ b/internal/ci/doc.go
@@ -1,6 +1,9 @@
-// Command ci runs all tests of the module, with the race detector but for those
-// in synctest bubbles, and decides
-// the verdict of continuous integration.
+// Command ci runs all tests of the module and decides the verdict of continuous
+// integration.
+//
+// Tests run with the race detector, but for packages that have tests under fake
+// time, whose bubbles its runtime does not bear. Of those packages the tests in
+// real time are run once more, with the race detector, and count twice.
 //
 // Packages that use rapid get its seed, so that a run can be repeated. Tests
 // named in KNOWN-RED.txt are run each by itself and their results printed, but
--- a/internal/ci/main.go
+++ b/internal/ci/main.go
@@ -45,6 +45,7 @@
 // pkg is a package of the module.
 type pkg struct {
 	path string
+	dir  string
 	mode mode
 }
 
@@ -78,6 +79,11 @@
 	if err != nil {
 		return false, err
 	}
+	raced, err := c.runRaced(pkgs, known)
+	if err != nil {
+		return false, err
+	}
+	total.add(raced)
 	knownOK, err := c.runKnown(pkgs, known)
 	if err != nil {
 		return false, err
@@ -94,7 +100,7 @@
 }
 
 func (c ci) packages() ([]pkg, error) {
-	const format = `{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}`
+	const format = `{{.ImportPath}} {{.Dir}} {{join .TestImports " "}} {{join .XTestImports " "}}`
 	out, err := c.command("list", "-f", format, "./...").Output()
 	if err != nil {
 		return nil, explain(err)
@@ -102,9 +108,10 @@
 	var list []pkg
 	for line := range strings.Lines(string(out)) {
 		words := strings.Fields(line)
-		list = append(list, pkg{path: words[0], mode: mode{
-			rapid:  slices.Contains(words[1:], rapidPath),
-			bubble: slices.ContainsFunc(words[1:], underFakeTime),
+		imports := words[2:]
+		list = append(list, pkg{path: words[0], dir: words[1], mode: mode{
+			rapid:  slices.Contains(imports, rapidPath),
+			bubble: slices.ContainsFunc(imports, underFakeTime),
 		}})
 	}
 	return list, nil
@@ -145,6 +152,36 @@
 	return total, nil
 }
 
+// runRaced runs the tests in real time of packages that have tests under fake
+// time too once more, with the race detector. They count twice.
+func (c ci) runRaced(pkgs []pkg, known []entry) (results, error) {
+	var total results
+	for _, rapid := range []bool{false, true} {
+		var paths, skip []string
+		for _, p := range pkgs {
+			if !p.mode.bubble || p.mode.rapid != rapid {
+				continue
+			}
+			fake, err := fakeTimeTests(p.dir)
+			if err != nil {
+				return total, err
+			}
+			paths = append(paths, p.path)
+			skip = append(skip, fake...)
+			skip = append(skip, knownIn(known, p.path)...)
+		}
+		if len(paths) == 0 {
+			continue
+		}
+		res, err := c.test(paths, mode{rapid: rapid}, "-skip", exactly(skip))
+		if err != nil {
+			return total, err
+		}
+		total.add(res)
+	}
+	return total, nil
+}
+
 // runKnown runs each test that is known to fail by itself and prints its
 // result. It reports whether every entry matches a test.
 func (c ci) runKnown(pkgs []pkg, known []entry) (bool, error) {
