--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -118,7 +118,7 @@
 	case poison.Run:
 		return t.a.Dispatcher.Acquire(t.ctx, t.work())
 	case poison.Refuse:
-		t.r.Logger().Warn("poison request refused", "service", t.r.Service.Name)
+		t.r.Logger().Warn("poison request refused", "service", t.r.Service.Name, "content", fingerprint(t.r))
 		return nil, code.New(code.Poison, "")
 	}
 	return t.a.Dispatcher.AcquireAlone(t.ctx, t.work())
@@ -137,13 +137,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), probeTimeout)
 	defer cancel()
-	if t.a.Pool.Probe(ctx, slot.Endpoint.Addr) == nil {
+	alone := t.verdict != poison.Run
+	log := t.r.Logger().With("endpoint", slot.Endpoint.Name, "incarnation", slot.Endpoint.Incarnation,
+		"content", fingerprint(t.r), "alone", alone, "begun", begun, "lost", err)
+	probe := t.a.Pool.Probe(ctx, slot.Endpoint.Addr)
+	t.a.Scope.Tagged(map[string]string{"crashed": strconv.FormatBool(probe != nil)}).Counter("requests_lost").Inc(1)
+	if probe == nil {
+		log.Info("request lost, its endpoint takes connections")
 		return
 	}
-	alone := t.verdict != poison.Run
 	t.losses++
 	t.a.Scope.Counter("endpoint_crashes").Inc(1)
-	t.r.Logger().Warn("endpoint crashed", "endpoint", slot.Endpoint.Name, "alone", alone)
+	log.Warn("endpoint crashed", "probe", probe)
 	t.a.Suspects.lost(t.r, slot.Endpoint.Name, alone, begun)
 }
 
--- a/poison/table.go
+++ b/poison/table.go
@@ -3,12 +3,16 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"time"
 )
 
 // Fingerprint identifies a request by its team and content.
 type Fingerprint [16]byte
 
+// String returns the beginning of the fingerprint in hexadecimal, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:6]) }
+
 // Of returns the fingerprint of the parts, of which the first is the team.
 func Of(parts ...[]byte) Fingerprint {
 	h := sha256.New()
