Scoring calls are owed whatever crashed under them

What trainers saw: after a burst of crashes a sample was never listed, though all was calm and endpoints had room. Cause: its scoring call went through the judge of requests that crash endpoints, like a caller's request. Two endpoints that crashed under it by chance, the second one while it was alone there, had it refused for ten minutes.

The judge is now given to callers' requests only, in both kinds of instance. Ruled out: streams of samples, which never asked it (durable: 40 losses in a row, placed again each time).

--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -36,10 +36,12 @@
 	Dispatcher  *dispatch.Dispatcher
 	Pool        *attempt.Pool
 	Revocations *Revocations
-	Suspects    *Suspects
 	Freshness   Freshness
 	Clock       clock.Clock
 	Scope       tally.Scope
+	// Suspects, if set, judges the requests. Those that are owed whatever
+	// crashed under them go without.
+	Suspects *Suspects
 	// FirstByte and Idle bound an endpoint's silence before and within its
 	// answer, unless the service says otherwise.
 	FirstByte time.Duration
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -106,6 +106,9 @@
 // streams of that endpoint would wait for each other. From the second loss on it
 // runs alone.
 func (t *try) judge() poison.Verdict {
+	if t.a.Suspects == nil {
+		return poison.Run
+	}
 	v := t.a.Suspects.judge(t.r)
 	if v != poison.Refuse && t.losses == 1 && t.policy().Resume {
 		return poison.Run
@@ -127,7 +130,7 @@
 // suspect notes a lost request, if its endpoint crashed: it takes no new
 // connections.
 func (t *try) suspect(slot *dispatch.Slot, err error, begun bool) {
-	if t.ctx.Err() != nil {
+	if t.a.Suspects == nil || t.ctx.Err() != nil {
 		return
 	}
 	switch asCode(err).Number {
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -28,7 +28,7 @@
 // serviceEntry is the chain that requests to services pass.
 func (d *Daemon) serviceEntry() http.Handler {
 	return d.entry(filter.Chain(
-		d.attempt(),
+		d.callerAttempt(),
 		d.admission(),
 		filter.Service{},
 		d.fresh(),
@@ -44,14 +44,20 @@
 	))
 }
 
-// attempt is the last handler of the chain.
+// callerAttempt is the last handler of callers' requests.
+func (d *Daemon) callerAttempt() *filter.Attempt {
+	a := d.attempt()
+	a.Suspects = d.suspects
+	return a
+}
+
+// attempt is the last handler of requests of the system's own.
 func (d *Daemon) attempt() *filter.Attempt {
 	return &filter.Attempt{
 		Views:       d.views,
 		Dispatcher:  d.dispatcher,
 		Pool:        d.pool,
 		Revocations: d.revocations,
-		Suspects:    d.suspects,
 		Freshness:   d.configuration,
 		Clock:       d.d.Clock,
 		Scope:       d.d.Scope,
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -237,7 +237,7 @@
 func (m *Managed) score() steps.ScoreFunc {
 	sc := scorer{
 		views: m.views, clock: m.d.Clock, log: m.d.Log, stamp: m.d.Adapter.Dialect().StampHeader,
-		chain: filter.Chain(m.attempt(nil), filter.Route{Inner: true}),
+		chain: filter.Chain(m.attempt(), filter.Route{Inner: true}),
 	}
 	return sc.score
 }
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -11,7 +11,7 @@
 
 // requests serves requests by route.
 func (m *Managed) requests(submit filter.HandlerFunc) http.Handler {
-	attempt := m.attempt(m.usage.Windows().Began)
+	attempt := m.callerAttempt(m.usage.Windows().Began)
 	last := filter.HandlerFunc(func(w http.ResponseWriter, r *filter.Request) error {
 		if r.Route.Kind == config.RouteRollout {
 			return submit(w, r)
@@ -49,15 +49,27 @@
 	}
 }
 
-// attempt is the last handler of requests. Began, if not nil, is told of each
+// callerAttempt is the last handler of callers' requests. Began is told of each
 // request of a team that began to run.
-func (m *Managed) attempt(began func(team string, at time.Time)) *filter.Attempt {
-	a := &filter.Attempt{
+func (m *Managed) callerAttempt(began func(team string, at time.Time)) *filter.Attempt {
+	a := m.attempt()
+	a.Suspects = m.suspects
+	a.RetryFaults = true
+	a.Ran = func(r *filter.Request, at time.Time) {
+		if r.Team != "" {
+			began(r.Team, at)
+		}
+	}
+	return a
+}
+
+// attempt is the last handler of requests of the system's own.
+func (m *Managed) attempt() *filter.Attempt {
+	return &filter.Attempt{
 		Views:       m.views,
 		Dispatcher:  m.dispatcher,
 		Pool:        m.d.Pool,
 		Revocations: m.revocations,
-		Suspects:    m.suspects,
 		Freshness:   m.intent,
 		Clock:       m.d.Clock,
 		Scope:       m.d.Scope,
@@ -69,16 +81,6 @@
 			m.d.Adapter.Prepare(r, e, r.Deadline-m.d.Clock.Now(), h)
 		},
 	}
-	if began == nil {
-		return a
-	}
-	a.RetryFaults = true
-	a.Ran = func(r *filter.Request, at time.Time) {
-		if r.Team != "" {
-			began(r.Team, at)
-		}
-	}
-	return a
 }
 
 func (m *Managed) admission() filter.Filter {
