Failures of a sample count through changes of a step's owner

A sample on which engines fail was given up after three failures in the eyes of one owner; each takeover began at zero (the new test: 10 failures over ten owners where 3 are allowed, 9 of its scoring call for 2).

--- a/durable/losses_test.go
+++ b/durable/losses_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -21,3 +23,39 @@
 		step.Ended(now, actions[0].(Start).Run, Broken)
 	}
 }
+
+// TestFailuresCountThroughChangesOfOwner: a sample on which engines fail is given
+// up after as many failures as without them.
+func TestFailuresCountThroughChangesOfOwner(t *testing.T) {
+	spec := Spec{MaxFailures: 3, MaxScoreFailures: 2, Samples: []Sample{{ID: "x"}, {ID: "y", Scorer: &Scorer{ID: "c"}}}}
+	step := New(spec, nil, nil)
+	now := time.Duration(0)
+	failures := map[string]int{}
+	rows := map[string]Saved{}
+	for range 10 {
+		now += maxPause
+		for _, a := range step.Tick(now, []Endpoint{{Name: "e", Free: 9}}) {
+			switch a := a.(type) {
+			case Start:
+				end := Whole
+				if a.Sample.ID == "x" {
+					end = Failed
+					failures["x"]++
+				} else {
+					_ = step.Event(a.Run, 1, "y", 1)
+				}
+				step.Ended(now, a.Run, end)
+			case Score:
+				failures[a.ID]++
+				step.Scored(now, a.ID, "", ScoreFailed)
+			}
+		}
+		for _, v := range step.Unsaved(1) {
+			rows[v.ID] = v
+		}
+		step = New(spec, nil, slices.Collect(maps.Values(rows)))
+	}
+	if failures["x"] != spec.MaxFailures || failures["y"] != spec.MaxScoreFailures {
+		t.Errorf("failures %v, want %d of x and %d of y", failures, spec.MaxFailures, spec.MaxScoreFailures)
+	}
+}
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -72,6 +72,10 @@
 	Whole    bool     `json:"whole,omitempty"`
 	Events   []string `json:"events"`
 	Versions []uint64 `json:"versions"`
+	// Failures counts the engine's failures so far, and ScoreFailures those of
+	// the scoring service.
+	Failures      int `json:"failures,omitempty"`
+	ScoreFailures int `json:"score_failures,omitempty"`
 }
 
 // Endpoint is an engine that a Step may use.
--- a/durable/step.go
+++ b/durable/step.go
@@ -50,8 +50,9 @@
 	endpoint   string
 	avoid      string
 	avoidUntil time.Duration
-	// savedEvents is how many events were saved.
-	savedEvents int
+	// savedEvents is how many events were saved, and savedFailures how many
+	// failures of both kinds.
+	savedEvents, savedFailures int
 }
 
 // Step is the state of one step.
@@ -108,13 +109,20 @@
 	return s
 }
 
-// restore takes the saved events of a sample if the step takes their versions.
+// restore takes what was saved of a sample: its failures, and its events if the
+// step takes their versions.
 func (s *Step) restore(v Saved) {
 	p := s.byID[v.ID]
-	if p == nil || p.state != waiting || len(p.events) > 0 || len(v.Versions) == 0 {
+	if p == nil || p.state != waiting || len(p.events) > 0 {
 		return
 	}
-	if slices.Min(v.Versions) < s.spec.MinVersion || s.spec.SingleVersion && len(v.Versions) > 1 {
+	p.failures, p.scoreFailures = v.Failures, v.ScoreFailures
+	p.savedFailures = v.Failures + v.ScoreFailures
+	if s.failedTooOften(p) {
+		s.unreachable(p)
+		return
+	}
+	if !s.takesSaved(v) {
 		return
 	}
 	p.events = slices.Clone(v.Events)
@@ -125,6 +133,20 @@
 	}
 }
 
+// failedTooOften reports whether a sample is to be given up.
+func (s *Step) failedTooOften(p *sample) bool {
+	return p.failures > 0 && p.failures >= s.spec.MaxFailures ||
+		p.scoreFailures > 0 && p.scoreFailures >= s.spec.MaxScoreFailures
+}
+
+// takesSaved reports whether the step takes the versions of saved events.
+func (s *Step) takesSaved(v Saved) bool {
+	if len(v.Versions) == 0 || slices.Min(v.Versions) < s.spec.MinVersion {
+		return false
+	}
+	return !s.spec.SingleVersion || len(v.Versions) == 1
+}
+
 // Spec returns the step's Spec.
 func (s *Step) Spec() Spec { return s.spec }
 
@@ -345,7 +367,7 @@
 		return
 	case Failed:
 		p.failures++
-		if p.failures >= s.spec.MaxFailures {
+		if s.failedTooOften(p) {
 			s.unreachable(p)
 			return
 		}
@@ -413,7 +435,7 @@
 		return
 	case ScoreFailed:
 		p.scoreFailures++
-		if p.scoreFailures >= s.spec.MaxScoreFailures {
+		if s.failedTooOften(p) {
 			s.unreachable(p)
 			return
 		}
@@ -472,21 +494,33 @@
 }
 
 // Unsaved returns what has come of the samples under way since it was saved
-// last, for those that have at least the given number of new events.
+// last, for those that have at least the given number of new events, or failed
+// since.
 func (s *Step) Unsaved(least int) []Saved {
 	var list []Saved
 	for _, p := range s.order {
-		if p.state == listed || len(p.events)-p.savedEvents < least || len(p.events) == 0 {
+		if p.state == listed || !p.unsaved(least) {
 			continue
 		}
-		list = append(list, Saved{ID: p.ID, Whole: p.complete, Events: slices.Clone(p.events), Versions: slices.Clone(p.versions)})
+		list = append(list, Saved{
+			ID: p.ID, Whole: p.complete, Events: slices.Clone(p.events), Versions: slices.Clone(p.versions),
+			Failures: p.failures, ScoreFailures: p.scoreFailures,
+		})
 	}
 	return list
 }
 
+func (p *sample) unsaved(least int) bool {
+	if p.failures+p.scoreFailures > p.savedFailures {
+		return true
+	}
+	return len(p.events) > 0 && len(p.events)-p.savedEvents >= least
+}
+
 // WasSaved notes that a sample was saved.
 func (s *Step) WasSaved(v Saved) {
 	if p := s.byID[v.ID]; p != nil {
 		p.savedEvents = len(v.Events)
+		p.savedFailures = v.Failures + v.ScoreFailures
 	}
 }
