--- a/durable/step.go
+++ b/durable/step.go
@@ -109,44 +109,12 @@
 	return s
 }
 
-// restore takes what was saved of a sample: its failures, and its events if the
-// step takes their versions.
-func (s *Step) restore(v Saved) {
-	p := s.byID[v.ID]
-	if p == nil || p.state != waiting || len(p.events) > 0 {
-		return
-	}
-	p.failures, p.scoreFailures = v.Failures, v.ScoreFailures
-	p.savedFailures = v.Failures + v.ScoreFailures
-	if s.failedTooOften(p) {
-		s.unreachable(p)
-		return
-	}
-	if !s.takesSaved(v) {
-		return
-	}
-	p.events = slices.Clone(v.Events)
-	p.versions = slices.Clone(v.Versions)
-	p.savedEvents = len(p.events)
-	if v.Whole {
-		s.whole(p)
-	}
-}
-
 // failedTooOften reports whether a sample is to be given up.
 func (s *Step) failedTooOften(p *sample) bool {
 	return p.failures > 0 && p.failures >= s.spec.MaxFailures ||
 		p.scoreFailures > 0 && p.scoreFailures >= s.spec.MaxScoreFailures
 }
 
-// takesSaved reports whether the step takes the versions of saved events.
-func (s *Step) takesSaved(v Saved) bool {
-	if len(v.Versions) == 0 || slices.Min(v.Versions) < s.spec.MinVersion {
-		return false
-	}
-	return !s.spec.SingleVersion || len(v.Versions) == 1
-}
-
 // Spec returns the step's Spec.
 func (s *Step) Spec() Spec { return s.spec }
 
@@ -245,87 +213,6 @@
 	return actions
 }
 
-// start begins a sample's stream at the best endpoint, if it is time and one
-// has room.
-func (s *Step) start(now time.Duration, p *sample, endpoints []Endpoint) Action {
-	if now < p.notBefore {
-		return nil
-	}
-	if s.stranded(p, endpoints) {
-		p.events, p.versions = nil, nil
-	}
-	e := s.pick(now, p, endpoints)
-	if e == nil {
-		return nil
-	}
-	if r, ok := s.rests[e.Name]; ok {
-		r.trying = true
-		s.rests[e.Name] = r
-	}
-	e.Free--
-	e.Load += loadOf(e)
-	s.nextRun++
-	p.state = running
-	p.run = s.nextRun
-	p.endpoint = e.Name
-	s.byRun[p.run] = p
-	return Start{Run: p.run, Sample: p.Sample, Endpoint: e.Name, After: len(p.events)}
-}
-
-// stranded reports whether no endpoint can go on with a sample's events under
-// their single version, while others could begin it anew.
-func (s *Step) stranded(p *sample, endpoints []Endpoint) bool {
-	if !s.spec.SingleVersion || len(p.versions) == 0 {
-		return false
-	}
-	others := false
-	for _, e := range endpoints {
-		if e.Version == p.versions[0] {
-			return false
-		}
-		others = others || e.Version >= s.spec.MinVersion
-	}
-	return others
-}
-
-// loadOf is what one more stream adds to an endpoint's Load.
-func loadOf(e *Endpoint) float64 {
-	if e.Free < 0 {
-		return 1
-	}
-	return (1 - min(e.Load, 1)) / float64(e.Free+1)
-}
-
-// pick returns the endpoint with the least load of those with room and a
-// version that the sample takes. One that just failed the sample comes last.
-func (s *Step) pick(now time.Duration, p *sample, endpoints []Endpoint) *Endpoint {
-	var best *Endpoint
-	bestAvoided := false
-	for i := range endpoints {
-		e := &endpoints[i]
-		if e.Free <= 0 || !s.takes(p, e.Version) || s.rests[e.Name].closed(now) {
-			continue
-		}
-		avoided := e.Name == p.avoid && now < p.avoidUntil
-		switch {
-		case best == nil, bestAvoided && !avoided:
-		case avoided && !bestAvoided, e.Load >= best.Load:
-			continue
-		}
-		best, bestAvoided = e, avoided
-	}
-	return best
-}
-
-// takes reports whether a version may produce a sample's next event.
-func (s *Step) takes(p *sample, version uint64) bool {
-	if version < s.spec.MinVersion {
-		return false
-	}
-	n := len(p.versions)
-	return !s.spec.SingleVersion || n == 0 || p.versions[n-1] == version
-}
-
 // Event takes an event of a stream. After an error the stream is to be ended
 // and reported with Ended.
 func (s *Step) Event(run RunID, index int, text string, version uint64) error {
@@ -380,27 +267,6 @@
 	}
 }
 
-// rest keeps an endpoint free of new samples for a while: it is full, or loads
-// weights, and would refuse the others too. Refusals of what was sent before the
-// pause began don't prolong it.
-func (s *Step) rest(now time.Duration, endpoint string) {
-	r := s.rests[endpoint]
-	if now < r.until {
-		return
-	}
-	r.trying = false
-	r.until = now + min(restTime<<min(r.refusals, 5), maxRest)
-	r.refusals++
-	s.rests[endpoint] = r
-}
-
-func (s *Step) pause(now time.Duration, p *sample, d time.Duration) {
-	p.notBefore = now + min(d<<min(p.misses, 5), maxPause)
-	p.misses++
-	p.avoid = p.endpoint
-	p.avoidUntil = now + avoidTime
-}
-
 // whole goes on with a sample whose text is whole.
 func (s *Step) whole(p *sample) {
 	p.complete = true
@@ -492,35 +358,3 @@
 	s.queue = append(s.storing, s.queue...)
 	s.storing = nil
 }
-
-// Unsaved returns what has come of the samples under way since it was saved
-// last, for those that have at least the given number of new events, or failed
-// since.
-func (s *Step) Unsaved(least int) []Saved {
-	var list []Saved
-	for _, p := range s.order {
-		if p.state == listed || !p.unsaved(least) {
-			continue
-		}
-		list = append(list, Saved{
-			ID: p.ID, Whole: p.complete, Events: slices.Clone(p.events), Versions: slices.Clone(p.versions),
-			Failures: p.failures, ScoreFailures: p.scoreFailures,
-		})
-	}
-	return list
-}
-
-func (p *sample) unsaved(least int) bool {
-	if p.failures+p.scoreFailures > p.savedFailures {
-		return true
-	}
-	return len(p.events) > 0 && len(p.events)-p.savedEvents >= least
-}
-
-// WasSaved notes that a sample was saved.
-func (s *Step) WasSaved(v Saved) {
-	if p := s.byID[v.ID]; p != nil {
-		p.savedEvents = len(v.Events)
-		p.savedFailures = v.Failures + v.ScoreFailures
-	}
-}
