A request that crashes endpoints is known when its route leads elsewhere

What is known of a request hung on the service that its route led to, so each change of that route let it crash endpoints anew (the new test failed before: another fingerprint for the same caller, host, path and body). By routes it now hangs on the host; without routes the service is part of what the caller asks for, and stays.

--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -73,8 +73,14 @@
 	s.count.Store(int64(s.table.Len()))
 }
 
+// fingerprint tells what a request asks for, and not which service it goes to
+// where operators may lead its route elsewhere.
 func fingerprint(r *Request) poison.Fingerprint {
-	return poison.Of([]byte(r.Team), []byte(r.Service.Name), []byte(r.Method),
+	target := r.Service.Name
+	if r.Route.Name != "" {
+		target = r.Host
+	}
+	return poison.Of([]byte(r.Team), []byte(target), []byte(r.Method),
 		[]byte(r.Path), []byte(r.URL.RawQuery), r.Body)
 }
 
