Crashed endpoints are recognised after the loss too; a pause after two of them

What callers saw: a request that crashes endpoints ran on and on where a crashed endpoint was back at once, was silent, came back under its name, or had left its address to another one; sound requests that a burst of crashes hit twice were refused for ten minutes.

Cause: the only evidence of a crash was a connection refused right after the loss; two losses, one of them alone, refused; losses of one crash through several instances counted one by one; a list of losses that was full took no later one that was alone; and a machine younger than a loss dropped it, as the time of a clearing that never was is zero.

Now a loss without proof is a doubt, for 8 s. It turns into a crash when its endpoint's entry is gone without having been about to leave, bears another incarnation, or its address answers for another endpoint. Crashes are counted by endpoint and start. After losses with two endpoints a request waits for 5 s, after three with one alone it is refused; requests of one content run alone one after another here, and after three crashes in company one instance tries it.

--- a/code/table.go
+++ b/code/table.go
@@ -33,6 +33,7 @@
 	DuplicateUnderWay    Number = 1304
 	DuplicateMayHaveRun  Number = 1305
 	DuplicateWithContent Number = 1306
+	PoisonPause          Number = 1307
 
 	NotFresh      Number = 2000
 	Draining      Number = 2001
@@ -97,6 +98,7 @@
 	{DuplicateUnderWay, "duplicate_under_way", http.StatusConflict, MaybeRun, time.Second, "A request with this ID is under way, and this one was not run. Come back with the same ID for what became of it."},
 	{DuplicateMayHaveRun, "duplicate_may_have_run", http.StatusConflict, MaybeRun, 0, "A request with this ID may have run, and no whole answer is known. It is not run again under this ID."},
 	{DuplicateWithContent, "duplicate_with_content", http.StatusUnprocessableEntity, NotRun, 0, "A request with this ID came before with another content. Use a new ID."},
+	{PoisonPause, "poison_pause", http.StatusServiceUnavailable, NotRun, 5 * time.Second, "Requests with this content were lost with several endpoints a moment ago. It may run again after a pause."},
 
 	{NotFresh, "not_fresh", http.StatusServiceUnavailable, NotRun, time.Second, "This instance can't tell whether its configuration is current. Use another entry."},
 	{Draining, "draining", http.StatusServiceUnavailable, NotRun, time.Second, "This instance is shutting down. Ask for entries again."},
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/outcome"
-	"github.com/cumincove/cumincove/poison"
 	"github.com/cumincove/cumincove/resume"
 	"github.com/cumincove/cumincove/retry"
 	"github.com/cumincove/cumincove/view"
@@ -140,8 +139,8 @@
 	budget *teamBudget
 	// last is the endpoint of the last attempt.
 	last string
-	// verdict says how the attempt is made.
-	verdict poison.Verdict
+	// suspicion says how the attempt is made.
+	suspicion suspicion
 	// stream is the token stream, if it may go on elsewhere; else nil.
 	stream *resume.Stream
 	// losses counts the endpoints that crashed with the request.
@@ -237,6 +236,7 @@
 	if err != nil {
 		return false, err
 	}
+	defer t.suspicion.end()
 	defer slot.Done(dispatch.Unused)
 	if err := t.rec.Begin(t.policy(), t.a.Clock.Now(), t.r.Deadline); err != nil {
 		return false, code.Wrap(code.QueueTimeout, err, "")
--- a/filter/silent_test.go
+++ b/filter/silent_test.go
@@ -69,7 +69,7 @@
 		srv.Close()
 	}
 	b.h = &Attempt{
-		Views: b.views, Pool: pool, Suspects: NewSuspects("i", b.clock), Clock: b.clock, Scope: tally.NoopScope, MaxAnswer: 1 << 30,
+		Views: b.views, Pool: pool, Suspects: NewSuspects(SuspectsOptions{Instance: "i", Clock: b.clock, Views: b.views, Scope: tally.NoopScope}), Clock: b.clock, Scope: tally.NoopScope, MaxAnswer: 1 << 30,
 		Dispatcher: dispatch.New(dispatch.Options{
 			Views: b.views, Clock: b.clock, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			Queue: fairqueue.DefaultOptions(), Limit: limit.DefaultOptions(),
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -2,27 +2,42 @@
 
 import (
 	"context"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cumincove/cumincove/clock"
-	"github.com/cumincove/cumincove/code"
-	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/poison"
+	"github.com/cumincove/cumincove/view"
+	"github.com/uber-go/tally/v4"
 )
 
+// SuspectsOptions says what Suspects work with.
+type SuspectsOptions struct {
+	// Name is this instance's among the members. Instance is its name and
+	// incarnation, which make the IDs of losses unique.
+	Name     string
+	Instance string
+	Clock    clock.Clock
+	// Views tell which endpoints there are.
+	Views *view.Store
+	Log   *slog.Logger
+	Scope tally.Scope
+}
+
 // Suspects holds what is known of requests that crash endpoints. It is safe
 // for concurrent use.
 type Suspects struct {
-	// Instance is this instance's name and incarnation, which make the IDs of
-	// losses unique.
-	Instance string
-	Clock    clock.Clock
-	// Tell, if set, tells other instances of a loss.
-	Tell func(poison.Rumour)
+	// Tell, if set, tells other instances of a loss, and Untell that losses are
+	// to be forgotten. They are set before the first request.
+	Tell   func(poison.Rumour)
+	Untell func(ids []string)
 
+	o SuspectsOptions
 	// count is the number of suspects; while it is zero no request is
 	// fingerprinted.
 	count atomic.Int64
@@ -30,149 +45,212 @@
 
 	mu    sync.Mutex
 	table *poison.Table
+	// turns holds the suspects that run alone, each with what is closed when it
+	// is the next one's turn.
+	turns map[poison.Fingerprint]chan struct{}
 }
 
 // NewSuspects returns Suspects that know of none.
-func NewSuspects(instance string, c clock.Clock) *Suspects {
-	return &Suspects{Instance: instance, Clock: c, table: poison.New(poison.DefaultOptions())}
+func NewSuspects(o SuspectsOptions) *Suspects {
+	return &Suspects{
+		o: o, table: poison.New(poison.DefaultOptions()),
+		turns: map[poison.Fingerprint]chan struct{}{},
+	}
+}
+
+// Run looks at each new snapshot for endpoints that have turned out to have
+// crashed, until ctx ends.
+func (s *Suspects) Run(ctx context.Context) error {
+	for {
+		changed := s.o.Views.Changed()
+		s.prove()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 // Hear takes in losses that another instance knows of.
 func (s *Suspects) Hear(rumours []poison.Rumour) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Hear(s.Clock.Now(), rumours)
-	s.count.Store(int64(s.table.Len()))
+	s.table.Hear(s.o.Clock.Now(), rumours)
+	s.counted()
 }
 
-func (s *Suspects) judge(r *Request) poison.Verdict {
+// counted notes the number of suspects. The caller holds the lock.
+func (s *Suspects) counted() { s.count.Store(int64(s.table.Len())) }
+
+// judge says how a request is to be run, and by which fingerprint it is known.
+// While nobody is suspect the fingerprint is empty.
+func (s *Suspects) judge(r *Request) (poison.Judgement, poison.Fingerprint) {
 	if s.count.Load() == 0 {
-		return poison.Run
+		return poison.Judgement{}, poison.Fingerprint{}
 	}
 	f := fingerprint(r)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.Judge(s.Clock.Now(), f)
-}
-
-func (s *Suspects) lost(r *Request, endpoint string, alone, begun bool) {
-	f := fingerprint(r)
-	id := s.Instance + "/" + strconv.FormatUint(s.next.Add(1), 10)
-	loss := poison.Rumour{Fingerprint: f, ID: id, Endpoint: endpoint, Alone: alone, Begun: begun}
-	s.Hear([]poison.Rumour{loss})
-	if s.Tell != nil {
-		s.Tell(loss)
+	j := s.table.Judge(s.o.Clock.Now(), f)
+	s.mu.Unlock()
+	if j.Trial && !s.tries(f, j.Since) {
+		j.Verdict, j.After = poison.Wait, trialWait
 	}
+	return j, f
 }
 
-func (s *Suspects) answered(r *Request) {
-	f := fingerprint(r)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Answered(s.Clock.Now(), f)
-	s.count.Store(int64(s.table.Len()))
-}
+const (
+	// trialTime is how long one instance is the one that tries a request that
+	// crashed many endpoints, before it is another one's turn.
+	trialTime = 20 * time.Second
+	// trialWait is when callers of the others are to come back.
+	trialWait = 2 * time.Second
+)
 
-// fingerprint tells what a request asks for, and not which service it goes to
-// where operators may lead its route elsewhere.
-func fingerprint(r *Request) poison.Fingerprint {
-	target := r.Service.Name
-	if r.Route.Name != "" {
-		target = r.Host
+// tries reports whether this instance is the one that tries a request now: the
+// one with the highest hash of all that are not about to leave.
+func (s *Suspects) tries(f poison.Fingerprint, since time.Duration) bool {
+	var best string
+	var most uint64
+	for name, m := range s.o.Views.Load().Members {
+		if m.Leaving {
+			continue
+		}
+		if weight := trialWeight(f, name, int64(since/trialTime)); best == "" || weight > most {
+			best, most = name, weight
+		}
 	}
-	return poison.Of([]byte(r.Team), []byte(target), []byte(r.Method),
-		[]byte(r.Path), []byte(r.URL.RawQuery), r.Body)
+	return best == "" || best == s.o.Name
 }
 
-// probeTimeout bounds the check whether an endpoint that lost a request still
-// takes connections.
-const probeTimeout = time.Second
+func trialWeight(f poison.Fingerprint, name string, turn int64) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%d/%s/", turn, name) // a hash takes all
+	_, _ = h.Write(f[:])
+	return h.Sum64()
+}
 
-// acquire waits for a place, alone if the request is suspect.
-func (t *try) acquire() (*dispatch.Slot, error) {
-	if slot := t.moved; slot != nil {
-		t.moved = nil
-		return slot, nil
-	}
-	for {
-		t.verdict = t.judge()
-		slot, err := t.place()
-		if err != nil {
-			return nil, err
-		}
-		if t.judge() == t.verdict {
-			return slot, nil
-		}
-		slot.Done(dispatch.Unused) // it became suspect, or was cleared, meanwhile
+// lost notes a loss, of which others hear if its endpoint crashed or if it is
+// not the request's first one.
+func (s *Suspects) lost(r poison.Rumour) {
+	r.ID = s.o.Instance + "/" + strconv.FormatUint(s.next.Add(1), 10)
+	s.Hear([]poison.Rumour{r})
+	s.mu.Lock()
+	tell := r.Crashed || s.table.LostOften(s.o.Clock.Now(), r.Fingerprint)
+	s.mu.Unlock()
+	if tell {
+		s.tell(r)
 	}
 }
 
-// judge says how the attempt is made. A stream that was lost with its endpoint
-// once goes on among others: mostly it was not the cause, and alone, all the
-// streams of that endpoint would wait for each other. From the second loss on it
-// runs alone.
-func (t *try) judge() poison.Verdict {
-	if t.a.Suspects == nil {
-		return poison.Run
+func (s *Suspects) tell(rumours ...poison.Rumour) {
+	if s.Tell == nil {
+		return
 	}
-	v := t.a.Suspects.judge(t.r)
-	if v != poison.Refuse && t.losses == 1 && t.policy().Resume {
-		return poison.Run
+	for _, r := range rumours {
+		s.Tell(r)
 	}
-	return v
 }
 
-func (t *try) place() (*dispatch.Slot, error) {
-	switch t.verdict {
-	case poison.Run:
-		return t.a.Dispatcher.Acquire(t.ctx, t.work())
-	case poison.Refuse:
-		t.r.Logger().Warn("poison request refused", "service", t.r.Service.Name, "content", fingerprint(t.r))
-		return nil, code.New(code.Poison, "")
+// prove makes crashes of the losses whose endpoints are gone or started anew.
+func (s *Suspects) prove() {
+	if s.count.Load() == 0 {
+		return
 	}
-	return t.a.Dispatcher.AcquireAlone(t.ctx, t.work())
+	v := s.o.Views.Load()
+	s.crashed("entry", func(now time.Duration) []poison.Rumour {
+		return s.table.Prove(now, func(endpoint string) poison.State {
+			e, ok := v.EndpointByName(endpoint)
+			if !ok {
+				return poison.State{}
+			}
+			return poison.State{Present: true, Incarnation: e.Incarnation, Leaving: e.Leaving}
+		})
+	})
 }
 
-// suspect notes a lost request, if its endpoint crashed: it takes no new
-// connections.
-func (t *try) suspect(slot *dispatch.Slot, err error, begun bool) {
-	if t.a.Suspects == nil || t.ctx.Err() != nil {
+// ended notes that an endpoint is not at its address any more.
+func (s *Suspects) ended(e *view.Endpoint) {
+	if s.count.Load() == 0 {
 		return
 	}
-	switch asCode(err).Number {
-	case code.EndpointLost, code.AnswerTruncated:
-	default:
-		return
+	s.crashed("address", func(now time.Duration) []poison.Rumour {
+		return s.table.Ended(now, placeOfEndpoint(e))
+	})
+}
+
+// crashed logs and tells of the losses that turned out to be crashes.
+func (s *Suspects) crashed(evidence string, find func(now time.Duration) []poison.Rumour) {
+	s.mu.Lock()
+	rumours := find(s.o.Clock.Now())
+	s.counted()
+	s.mu.Unlock()
+	for _, r := range rumours {
+		s.o.Scope.Counter("endpoint_crashes").Inc(1)
+		s.o.Log.Warn("endpoint crashed", "endpoint", r.Endpoint, "incarnation", r.Incarnation,
+			"content", r.Fingerprint, "alone", r.Alone, "evidence", evidence, "age", r.Age)
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.ctx), probeTimeout)
-	defer cancel()
-	alone := t.verdict != poison.Run
-	log := t.r.Logger().With("endpoint", slot.Endpoint.Name, "incarnation", slot.Endpoint.Incarnation,
-		"content", fingerprint(t.r), "alone", alone, "begun", begun, "lost", err)
-	probe := t.a.Pool.Probe(ctx, slot.Endpoint.Addr)
-	t.a.Scope.Tagged(map[string]string{"crashed": strconv.FormatBool(probe != nil)}).Counter("requests_lost").Inc(1)
-	if probe == nil {
-		log.Info("request lost, its endpoint takes connections")
-		return
+	s.tell(rumours...)
+}
+
+func placeOfEndpoint(e *view.Endpoint) poison.Place {
+	return poison.Place{Endpoint: e.Name, Incarnation: e.Incarnation}
+}
+
+// answered notes a whole answer.
+func (s *Suspects) answered(f poison.Fingerprint, alone bool) {
+	s.mu.Lock()
+	ids := s.table.Answered(s.o.Clock.Now(), f, alone)
+	s.counted()
+	s.mu.Unlock()
+	if len(ids) > 0 && s.Untell != nil {
+		s.Untell(ids)
 	}
-	t.losses++
-	t.a.Scope.Counter("endpoint_crashes").Inc(1)
-	log.Warn("endpoint crashed", "probe", probe)
-	t.a.Suspects.lost(t.r, slot.Endpoint.Name, alone, begun)
-}
-
-// began lets a suspect's endpoint take other work once its answer begins, unless
-// it was lost later than that before.
-func (t *try) began(slot *dispatch.Slot) {
-	slot.FirstByte()
-	if t.verdict == poison.RunAlone {
-		slot.Share()
+}
+
+// Forget forgets losses whose request another instance found harmless.
+func (s *Suspects) Forget(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Forget(ids)
+	s.counted()
+}
+
+// turn waits until no other request with the fingerprint runs alone here, and
+// returns what ends its own turn.
+func (s *Suspects) turn(ctx context.Context, f poison.Fingerprint) (end func(), err error) {
+	for {
+		s.mu.Lock()
+		taken, ok := s.turns[f]
+		if !ok {
+			mine := make(chan struct{})
+			s.turns[f] = mine
+			s.mu.Unlock()
+			return sync.OnceFunc(func() { s.endTurn(f, mine) }), nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-taken:
+		case <-ctx.Done():
+			return nil, stopped(ctx)
+		}
 	}
 }
 
-// cleared notes a whole answer to a suspect.
-func (t *try) cleared() {
-	if t.verdict != poison.Run {
-		t.a.Suspects.answered(t.r)
+func (s *Suspects) endTurn(f poison.Fingerprint, mine chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.turns, f)
+	close(mine)
+}
+
+// fingerprint tells what a request asks for, and not which service it goes to
+// where operators may lead its route elsewhere.
+func fingerprint(r *Request) poison.Fingerprint {
+	target := r.Service.Name
+	if r.Route.Name != "" {
+		target = r.Host
 	}
+	return poison.Of([]byte(r.Team), []byte(target), []byte(r.Method),
+		[]byte(r.Path), []byte(r.URL.RawQuery), r.Body)
 }
--- a/internal/bench/cost/forwarders.go
+++ b/internal/bench/cost/forwarders.go
@@ -76,7 +76,8 @@
 		Revocations: filter.NewRevocations(filter.RevocationsOptions{
 			Views: views, Freshness: alwaysFresh{}, Clock: clock.Boot{},
 		}),
-		Suspects: filter.NewSuspects("i", clock.Boot{}), Freshness: alwaysFresh{}, Clock: clock.Boot{},
+		Suspects:  filter.NewSuspects(filter.SuspectsOptions{Instance: "i", Clock: clock.Boot{}, Views: views, Scope: tally.NoopScope}),
+		Freshness: alwaysFresh{}, Clock: clock.Boot{},
 		Dispatcher: dispatch.New(dispatch.Options{
 			Views: views, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			Queue: fairqueue.DefaultOptions(), Limit: limit.DefaultOptions(),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,6 +137,7 @@
 		d.dispatcher,
 		d.pool,
 		d.revocations,
+		d.suspects,
 		d.rollouts.steps,
 		d.rollouts.weights,
 		d.duties.keeper,
@@ -214,7 +215,10 @@
 		Incarnation: d.incarnation,
 		Keep:        time.Duration(d.d.Settings.Timing.DedupKeep),
 	})
-	d.suspects = filter.NewSuspects(d.d.Settings.Name+"/"+rand.Text(), d.d.Clock)
+	d.suspects = filter.NewSuspects(filter.SuspectsOptions{
+		Name: d.d.Settings.Name, Instance: d.d.Settings.Name + "/" + rand.Text(), Clock: d.d.Clock, Views: d.views,
+		Log: d.d.Log, Scope: d.d.Scope,
+	})
 	d.teamLimit = &filter.TeamLimit{
 		Views: d.views, Clock: d.d.Clock, Hold: time.Duration(d.d.Settings.Limits.RequestTime), Seq: d.incarnation,
 	}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -172,7 +173,15 @@
 	m.revocations = filter.NewRevocations(filter.RevocationsOptions{
 		Views: m.views, Freshness: m.intent, Clock: m.d.Clock,
 	})
-	m.suspects = filter.NewSuspects(m.d.Settings.Name, m.d.Clock)
+	m.newSuspects()
+}
+
+// newSuspects builds what knows of requests that crash endpoints.
+func (m *Managed) newSuspects() {
+	instance := fmt.Sprintf("%s/%d", m.d.Settings.Name, m.incarnation)
+	m.suspects = filter.NewSuspects(filter.SuspectsOptions{
+		Name: m.d.Settings.Name, Instance: instance, Clock: m.d.Clock, Views: m.views, Log: m.d.Log, Scope: m.d.Scope,
+	})
 }
 
 func (m *Managed) runners() []runner {
@@ -187,6 +196,7 @@
 		m.dispatcher,
 		m.d.Pool,
 		m.revocations,
+		m.suspects,
 		gauges{m},
 	}
 }
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -14,8 +14,9 @@
 	now    time.Duration
 	tables [2]*Table
 	losses int
-	// heard is when the instances last told each other everything.
-	kills map[byte]int
+	kills  map[byte]int
+	// starts counts the starts of each endpoint.
+	starts map[string]int64
 }
 
 func fingerprint(b byte) Fingerprint { return Of([]byte{b}) }
@@ -23,10 +24,13 @@
 // bad reports whether request b crashes every endpoint that runs it.
 func bad(b byte) bool { return b < 2 }
 
+// place is the present start of an endpoint.
+func (s *site) place(endpoint string) Place { return Place{endpoint, s.starts[endpoint]} }
+
 func (s *site) lose(instance int, b byte, endpoint string, alone bool) {
 	s.losses++
 	s.tables[instance].Lost(s.now, fingerprint(b), Loss{
-		ID: fmt.Sprint(s.losses), Endpoint: endpoint, Alone: alone, At: s.now,
+		ID: fmt.Sprint(s.losses), Place: s.place(endpoint), Crashed: true, Alone: alone, At: s.now,
 	})
 }
 
@@ -38,7 +42,8 @@
 	var together []byte
 	crash := false
 	for _, b := range requests {
-		switch s.tables[instance].Judge(s.now, fingerprint(b)) {
+		switch s.tables[instance].Judge(s.now, fingerprint(b)).Verdict {
+		case Wait:
 		case Run:
 			together = append(together, b)
 			crash = crash || bad(b)
@@ -59,6 +64,19 @@
 			s.kills[b]++
 		}
 	}
+	s.starts[endpoint]++
+}
+
+// chance lets an endpoint crash by itself under sound requests, some of which
+// are there through both instances.
+func (s *site) chance(t *rapid.T) {
+	endpoint := rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "endpoint")
+	for _, b := range rapid.SliceOfNDistinct(rapid.ByteRange(2, 9), 1, 4, rapid.ID).Draw(t, "requests") {
+		for instance := range rapid.IntRange(1, 2).Draw(t, "instances") {
+			s.lose(instance, b, endpoint, false)
+		}
+	}
+	s.starts[endpoint]++
 }
 
 // alone runs a suspect by itself. Time passes until the endpoint is back.
@@ -67,9 +85,10 @@
 	if bad(b) {
 		s.kills[b]++
 		s.lose(instance, b, endpoint, true)
+		s.starts[endpoint]++
 		return
 	}
-	s.tables[instance].Answered(s.now, fingerprint(b))
+	s.tables[instance].Answered(s.now, fingerprint(b), true)
 }
 
 // tell passes rumours on, some of them twice.
@@ -83,13 +102,13 @@
 	rapid.Check(t, func(t *rapid.T) {
 		opt := DefaultOptions()
 		opt.Forget = 24 * time.Hour
-		s := &site{tables: [2]*Table{New(opt), New(opt)}, kills: map[byte]int{}}
+		s := &site{tables: [2]*Table{New(opt), New(opt)}, kills: map[byte]int{}, starts: map[string]int64{}}
 		t.Repeat(map[string]func(*rapid.T){
-			"run": s.run, "tell": s.tell,
+			"run": s.run, "tell": s.tell, "chance": s.chance,
 			"wait": func(*rapid.T) { s.now += time.Second },
 			"": func(t *rapid.T) {
 				for b, n := range s.kills {
-					// Two crashes at each instance, if no rumour comes in time.
+					// As many at each instance, if no rumour comes in time.
 					if n > crashesToRefuse*len(s.tables) {
 						t.Fatalf("request %d crashed %d endpoints", b, n)
 					}
@@ -99,20 +118,30 @@
 	})
 }
 
+// crashAt is a crash at an endpoint, whose ID tells it from others.
+func crashAt(endpoint string, at time.Duration, alone bool) Loss {
+	return Loss{ID: fmt.Sprint(endpoint, at, alone), Place: Place{Endpoint: endpoint}, Crashed: true, Alone: alone, At: at}
+}
+
 func TestTwoAloneAtOnceAreNotBlamed(t *testing.T) {
 	opt := DefaultOptions()
 	a, b := New(opt), New(opt)
 	guilty, innocent := fingerprint(0), fingerprint(9)
-	a.Lost(0, guilty, Loss{ID: "a1", Endpoint: "e1"})
-	a.Lost(time.Minute, guilty, Loss{ID: "a2", Endpoint: "e2", Alone: true, At: time.Minute})
-	b.Lost(0, innocent, Loss{ID: "b1", Endpoint: "e1"})
-	b.Lost(time.Minute, innocent, Loss{ID: "b2", Endpoint: "e2", Alone: true, At: time.Minute})
-	b.Hear(time.Minute, a.Rumours(time.Minute, 10))
-	if got := b.Judge(time.Minute, innocent); got != RunAlone {
+	for i, tab := range []*Table{a, b} {
+		f := []Fingerprint{guilty, innocent}[i]
+		for k, endpoint := range []string{"e1", "e2", "e3"} {
+			l := crashAt(endpoint, time.Duration(k)*time.Minute, k == 2)
+			l.ID += fmt.Sprint(i)
+			tab.Lost(l.At, f, l)
+		}
+	}
+	now := 3 * time.Minute
+	b.Hear(now, a.Rumours(now, 10))
+	if got := b.Judge(now, innocent).Verdict; got != RunAlone {
 		t.Fatalf("innocent: verdict %v", got)
 	}
-	b.Answered(2*time.Minute, innocent)
-	if got := b.Judge(2*time.Minute, guilty); got != Refuse {
+	b.Answered(now, innocent, true)
+	if got := b.Judge(now, guilty).Verdict; got != Refuse {
 		t.Fatalf("guilty: verdict %v", got)
 	}
 }
@@ -121,22 +150,129 @@
 	opt := DefaultOptions()
 	tab := New(opt)
 	f := fingerprint(0)
-	for i := range 2 {
-		tab.Lost(0, f, Loss{ID: fmt.Sprint(i), Alone: true})
+	for i := range crashesToRefuse {
+		tab.Lost(0, f, crashAt(fmt.Sprint(i), 0, true))
+	}
+	if j := tab.Judge(opt.Forget-1, f); j.Verdict != Refuse || j.After != 1 {
+		t.Fatalf("forgotten early: %+v", j)
 	}
-	if tab.Judge(opt.Forget-1, f) != Refuse || tab.Judge(opt.Forget, f) != Run {
+	if tab.Judge(opt.Forget, f).Verdict != Run {
 		t.Fatal("not forgotten in time")
 	}
 }
 
+// TestOneCrashOfOneEndpointCountsOnce: a request that ran there through several
+// instances was lost several times.
+func TestOneCrashOfOneEndpointCountsOnce(t *testing.T) {
+	tab := New(DefaultOptions())
+	f := fingerprint(0)
+	for i := range 5 {
+		l := crashAt("e1", 0, true)
+		l.ID = fmt.Sprint(i)
+		tab.Lost(0, f, l)
+	}
+	if got := tab.Judge(time.Minute, f).Verdict; got != RunAlone {
+		t.Errorf("verdict %v", got)
+	}
+}
+
+// TestCrashAloneCountsAfterManyInCompany: many instances may lose a request
+// before any runs it alone.
+func TestCrashAloneCountsAfterManyInCompany(t *testing.T) {
+	tab := New(DefaultOptions())
+	f := fingerprint(0)
+	for i := range 2 * maxLossesOfOne {
+		tab.Lost(0, f, crashAt(fmt.Sprint(i), 0, false))
+	}
+	tab.Lost(time.Minute, f, crashAt("e", time.Minute, true))
+	if got := tab.Judge(time.Hour/10, f).Verdict; got != Refuse {
+		t.Errorf("verdict %v", got)
+	}
+}
+
+// TestSoundRequestHitTwiceRunsAgainSoon: a burst of crashes may hit a request
+// twice; it waits for a pause and is not refused for long.
+func TestSoundRequestHitTwiceRunsAgainSoon(t *testing.T) {
+	opt := DefaultOptions()
+	tab := New(opt)
+	f := fingerprint(0)
+	tab.Lost(0, f, crashAt("e1", 0, false))
+	tab.Lost(0, f, crashAt("e2", time.Second, true))
+	if j := tab.Judge(time.Second, f); j.Verdict != Wait || j.After != opt.Pause {
+		t.Errorf("at once: %+v", j)
+	}
+	if got := tab.Judge(time.Second+opt.Pause, f).Verdict; got != RunAlone {
+		t.Errorf("after the pause: %v", got)
+	}
+}
+
+// TestDoubts: losses at endpoints that live on blame nobody, and those at
+// endpoints that turn out to have crashed count as if that had been known.
+func TestDoubts(t *testing.T) {
+	opt := DefaultOptions()
+	tab := New(opt)
+	f := fingerprint(0)
+	states := map[string]State{}
+	for i, endpoint := range []string{"lives", "gone", "anew", "leaves"} {
+		states[endpoint] = State{Present: true}
+		l := crashAt(endpoint, 0, i == 1)
+		l.Crashed = false
+		tab.Lost(0, f, l)
+	}
+	if got := tab.Judge(0, f).Verdict; got != Wait {
+		t.Errorf("lost at four endpoints: %v", got)
+	}
+	state := func(endpoint string) State { return states[endpoint] }
+	if got := tab.Prove(time.Second, state); len(got) != 0 {
+		t.Errorf("proved %v while all are there", got)
+	}
+	delete(states, "gone")
+	states["anew"] = State{Present: true, Incarnation: 7}
+	states["leaves"] = State{Present: true, Leaving: true}
+	if got := tab.Prove(2*time.Second, state); len(got) != 2 || !got[0].Crashed || got[0].Age != 2*time.Second {
+		t.Errorf("proved %+v", got)
+	}
+	if got := tab.Ended(2*time.Second, Place{Endpoint: "lives"}); len(got) != 1 {
+		t.Errorf("proved by its address %+v", got)
+	}
+	if got := tab.Judge(opt.Pause, f).Verdict; got != Refuse {
+		t.Errorf("after three crashes, one alone: %v", got)
+	}
+}
+
+// TestAnswerEndsDoubts: a request that many send is lost now and then, and
+// answered in between.
+func TestAnswerEndsDoubts(t *testing.T) {
+	tab := New(DefaultOptions())
+	f := fingerprint(0)
+	for i := range 9 {
+		l := crashAt(fmt.Sprint(i), 0, false)
+		l.Crashed = false
+		tab.Lost(0, f, l)
+		if j := tab.Judge(0, f); j.Verdict != Run || !j.Known {
+			t.Fatalf("after %d losses: %+v", i+1, j)
+		}
+		tab.Answered(0, f, false)
+	}
+	if tab.Len() != 0 {
+		t.Errorf("%d are left", tab.Len())
+	}
+}
+
 func ExampleTable() {
 	t := New(DefaultOptions())
 	f := Of([]byte("team"), []byte("content"))
-	t.Lost(0, f, Loss{ID: "1", Endpoint: "e1"})
-	fmt.Println(t.Judge(time.Second, f) == RunAlone)
-	t.Lost(time.Minute, f, Loss{ID: "2", Endpoint: "e2", Alone: true, At: time.Minute})
-	fmt.Println(t.Judge(time.Minute, f) == Refuse)
+	crash := func(id, endpoint string, at time.Duration, alone bool) {
+		t.Lost(at, f, Loss{ID: id, Place: Place{Endpoint: endpoint}, Crashed: true, Alone: alone, At: at})
+	}
+	crash("1", "e1", 0, false)
+	fmt.Println(t.Judge(time.Second, f).Verdict == RunAlone)
+	crash("2", "e2", 20*time.Second, true)
+	fmt.Println(t.Judge(20*time.Second, f).Verdict == Wait)
+	crash("3", "e3", 40*time.Second, true)
+	fmt.Println(t.Judge(time.Minute, f).Verdict == Refuse)
 	// Output:
 	// true
 	// true
+	// true
 }
--- a/poison/table.go
+++ b/poison/table.go
@@ -1,32 +1,10 @@
 package poison
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
+	"slices"
 	"time"
 )
 
-// Fingerprint identifies a request by its team and content.
-type Fingerprint [16]byte
-
-// String returns the beginning of the fingerprint in hexadecimal, for logs.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:6]) }
-
-// Of returns the fingerprint of the parts, of which the first is the team.
-func Of(parts ...[]byte) Fingerprint {
-	h := sha256.New()
-	var length [8]byte
-	for _, p := range parts {
-		binary.BigEndian.PutUint64(length[:], uint64(len(p)))
-		h.Write(length[:])
-		h.Write(p)
-	}
-	var f Fingerprint
-	copy(f[:], h.Sum(nil))
-	return f
-}
-
 // Verdict says how a request is to be run.
 type Verdict int
 
@@ -39,50 +17,59 @@
 	// RunAloneToEnd: it is suspect, and was lost within its answer, so it runs
 	// alone until its answer is whole.
 	RunAloneToEnd
-	// Refuse: it crashed an endpoint again, alone.
+	// Wait: it was lost with several endpoints a moment ago, and may run again
+	// after a pause.
+	Wait
+	// Refuse: it crashed endpoints again and again, alone as well.
 	Refuse
 )
 
 // Options configures a Table.
 type Options struct {
-	// Forget is how long a loss counts.
+	// Forget is how long a crash counts.
 	Forget time.Duration
 	// Together is how close in time two losses at one endpoint are taken for
 	// one crash.
 	Together time.Duration
-	// MaxSuspects bounds the table.
+	// Proof is how long after a loss its endpoint may still turn out to have
+	// crashed. It covers the time in which a dead endpoint's entry lapses.
+	Proof time.Duration
+	// Pause is the time between two runs of a request that was lost with several
+	// endpoints.
+	Pause time.Duration
+	// MaxSuspects bounds the requests in the table, and MaxLosses the losses at
+	// endpoints that are not known to have crashed.
 	MaxSuspects int
+	MaxLosses   int
 }
 
 // DefaultOptions returns the Options for production.
 func DefaultOptions() Options {
-	return Options{Forget: 10 * time.Minute, Together: 5 * time.Second, MaxSuspects: 4_096}
-}
-
-// Loss is a crash of an endpoint that ran a request.
-type Loss struct {
-	// ID is unique over instances, so that a loss heard twice counts once.
-	ID       string
-	Endpoint string
-	// Alone says that the request ran there by itself, as far as its instance
-	// knew.
-	Alone bool
-	// Begun says that an answer had begun.
-	Begun bool
-	// At is the time of the crash, in this instance's boot time.
-	At time.Duration
+	return Options{
+		Forget: 10 * time.Minute, Together: 5 * time.Second,
+		Proof: 8 * time.Second, Pause: 5 * time.Second,
+		MaxSuspects: 4_096, MaxLosses: 1_024,
+	}
 }
 
-// crashesToRefuse is the number of crashes after which a request is refused.
-const crashesToRefuse = 2
-
-// maxLosses bounds the losses kept of one suspect.
-const maxLosses = 8
+const (
+	// crashesToPause, crashesToRefuse and lossesToPause are numbers of different
+	// endpoints: those that crashed under a request, and those at which it was
+	// lost.
+	crashesToPause  = 2
+	crashesToRefuse = 3
+	lossesToPause   = 3
+	// maxLossesOfOne bounds the losses kept of one request.
+	maxLossesOfOne = 8
+)
 
 // Table holds what is known of suspects.
 type Table struct {
-	opt      Options
-	suspects map[Fingerprint][]Loss
+	opt Options
+	// crashes holds the losses at endpoints that crashed, and doubts those at
+	// endpoints that may have.
+	crashes map[Fingerprint][]Loss
+	doubts  doubts
 	// cleared holds when a suspect was found harmless, so that older rumours
 	// do not make it suspect again.
 	cleared map[Fingerprint]time.Duration
@@ -91,20 +78,34 @@
 // New returns an empty Table.
 func New(opt Options) *Table {
 	return &Table{
-		opt:      opt,
-		suspects: map[Fingerprint][]Loss{},
-		cleared:  map[Fingerprint]time.Duration{},
+		opt:     opt,
+		crashes: map[Fingerprint][]Loss{},
+		cleared: map[Fingerprint]time.Duration{},
 	}
 }
 
-// Len returns the number of suspects.
-func (t *Table) Len() int { return len(t.suspects) }
+// Len returns the number of requests of which losses are known, at most.
+func (t *Table) Len() int { return len(t.crashes) + len(t.doubts.list) }
+
+// Judgement says how a request is to be run.
+type Judgement struct {
+	Verdict Verdict
+	// Known says that losses of the request are known.
+	Known bool
+	// After is when it may be run again if it is to wait or refused.
+	After time.Duration
+	// Trial says that its next run decides, after crashes enough to refuse it of
+	// which none was alone. Since is the time since it was lost last.
+	Trial bool
+	Since time.Duration
+}
 
 // Judge says how a request is to be run at time now.
-func (t *Table) Judge(now time.Duration, f Fingerprint) Verdict {
-	verdict := Run
-	crashes, alone := 0, false
-	for _, l := range t.suspects[f] {
+func (t *Table) Judge(now time.Duration, f Fingerprint) Judgement {
+	var crashed, lost places
+	var last time.Duration
+	verdict, alone := Run, false
+	for _, l := range t.crashes[f] {
 		if now-l.At >= t.opt.Forget {
 			continue
 		}
@@ -112,23 +113,45 @@
 		if l.Begun {
 			verdict = RunAloneToEnd
 		}
-		crashes++
+		crashed.add(l.Place)
+		lost.add(l.Place)
+		last = max(last, l.At)
 		alone = alone || l.Alone && !t.shared(f, l)
 	}
-	if crashes >= crashesToRefuse && alone {
-		return Refuse
+	for _, l := range t.doubts.of(f, now-t.opt.Proof) {
+		lost.add(l.Place)
+		last = max(last, l.At)
+	}
+	often := len(lost) >= lossesToPause || len(crashed) > 0 && len(lost) >= crashesToPause
+	switch {
+	case len(crashed) >= crashesToRefuse && alone:
+		return Judgement{Verdict: Refuse, Known: true, After: last + t.opt.Forget - now}
+	case often && now-last < t.opt.Pause:
+		return Judgement{Verdict: Wait, Known: true, After: last + t.opt.Pause - now}
+	}
+	return Judgement{
+		Verdict: verdict, Known: len(lost) > 0,
+		Trial: len(crashed) >= crashesToRefuse, Since: now - last,
+	}
+}
+
+// places are different endpoints, or starts of them.
+type places []Place
+
+func (p *places) add(at Place) {
+	if !slices.Contains(*p, at) {
+		*p = append(*p, at)
 	}
-	return verdict
 }
 
 // shared reports whether another suspect was lost alone in the same crash.
 func (t *Table) shared(f Fingerprint, l Loss) bool {
-	for other, losses := range t.suspects {
+	for other, losses := range t.crashes {
 		if other == f {
 			continue
 		}
 		for _, o := range losses {
-			if o.Alone && o.Endpoint == l.Endpoint && max(o.At-l.At, l.At-o.At) < t.opt.Together {
+			if o.Alone && o.Place == l.Place && max(o.At-l.At, l.At-o.At) < t.opt.Together {
 				return true
 			}
 		}
@@ -136,46 +159,126 @@
 	return false
 }
 
-// Lost notes that a request was running at an endpoint when it crashed.
+// Lost notes that a request was running at an endpoint when it crashed, or was
+// lost there. A loss that is known already may turn into a crash.
 func (t *Table) Lost(now time.Duration, f Fingerprint, l Loss) {
-	if now-l.At >= t.opt.Forget || l.At < t.cleared[f] {
+	if at, ok := t.cleared[f]; ok && l.At < at {
 		return
 	}
-	for _, known := range t.suspects[f] {
-		if known.ID == l.ID {
-			return
+	if !l.Crashed {
+		if now-l.At < t.opt.Proof && !slices.ContainsFunc(t.crashes[f], l.same) {
+			t.doubts.add(f, l, t.opt.MaxLosses)
 		}
-	}
-	if len(t.suspects[f]) >= maxLosses {
 		return
 	}
-	if _, ok := t.suspects[f]; !ok && len(t.suspects) >= t.opt.MaxSuspects {
+	t.doubts.drop(f, l.same)
+	if now-l.At < t.opt.Forget && !slices.ContainsFunc(t.crashes[f], l.same) {
+		t.addCrash(now, f, l)
+	}
+}
+
+func (t *Table) addCrash(now time.Duration, f Fingerprint, l Loss) {
+	known := t.crashes[f]
+	if len(known) >= maxLossesOfOne {
+		known = withoutWeakest(known)
+	}
+	if known == nil && len(t.crashes) >= t.opt.MaxSuspects {
 		t.sweep(now)
 	}
-	if _, ok := t.suspects[f]; !ok && len(t.suspects) >= t.opt.MaxSuspects {
+	if known == nil && len(t.crashes) >= t.opt.MaxSuspects {
 		return // the older suspects are the better founded ones
 	}
-	t.suspects[f] = append(t.suspects[f], l)
+	t.crashes[f] = append(known, l)
 }
 
-// Answered notes that a request that ran alone got a whole answer, which
-// clears it.
-func (t *Table) Answered(now time.Duration, f Fingerprint) {
-	if _, ok := t.suspects[f]; !ok {
-		return
+// withoutWeakest leaves out the oldest loss in company, or else the oldest one.
+func withoutWeakest(list []Loss) []Loss {
+	weakest := max(slices.IndexFunc(list, func(l Loss) bool { return !l.Alone }), 0)
+	return slices.Delete(slices.Clone(list), weakest, weakest+1)
+}
+
+// Answered notes that a request got a whole answer. One that ran alone is
+// cleared by it: the IDs of its losses are returned, which others are to forget.
+func (t *Table) Answered(now time.Duration, f Fingerprint, alone bool) []string {
+	t.doubts.drop(f, func(Loss) bool { return true })
+	if !alone || t.crashes[f] == nil {
+		return nil
+	}
+	var ids []string
+	for _, l := range t.crashes[f] {
+		ids = append(ids, l.ID)
 	}
-	delete(t.suspects, f)
+	delete(t.crashes, f)
 	if len(t.cleared) >= t.opt.MaxSuspects {
 		clear(t.cleared)
 	}
 	t.cleared[f] = now
+	return ids
+}
+
+// Forget forgets losses by ID.
+func (t *Table) Forget(ids []string) {
+	for f, losses := range t.crashes {
+		left := slices.DeleteFunc(slices.Clone(losses), func(l Loss) bool { return slices.Contains(ids, l.ID) })
+		if len(left) == 0 {
+			delete(t.crashes, f)
+			continue
+		}
+		t.crashes[f] = left
+	}
+}
+
+// Prove looks at the losses at endpoints that are not known to have crashed.
+// Those whose endpoints are gone without having been about to leave, or have
+// started anew, become crashes, which it returns.
+func (t *Table) Prove(now time.Duration, state func(endpoint string) State) []Rumour {
+	return t.prove(now, t.doubts.take(func(l Loss) proof {
+		if now-l.At >= t.opt.Proof {
+			return unprovable
+		}
+		return state(l.Place.Endpoint).proof(l.Place)
+	}))
+}
+
+// Ended makes crashes of the losses at a place that is known to have ended, and
+// returns them.
+func (t *Table) Ended(now time.Duration, at Place) []Rumour {
+	return t.prove(now, t.doubts.take(func(l Loss) proof {
+		if l.Place == at {
+			return proven
+		}
+		return undecided
+	}))
+}
+
+func (t *Table) prove(now time.Duration, list []doubt) []Rumour {
+	var rumours []Rumour
+	for _, d := range list {
+		d.Crashed = true
+		t.Lost(now, d.f, d.Loss)
+		rumours = append(rumours, d.rumour(now, d.f))
+	}
+	return rumours
+}
+
+// LostOften reports whether a request was lost at several endpoints, so that
+// others are to hear of losses of which nothing is proved.
+func (t *Table) LostOften(now time.Duration, f Fingerprint) bool {
+	var at places
+	for _, l := range t.crashes[f] {
+		at.add(l.Place)
+	}
+	for _, l := range t.doubts.of(f, now-t.opt.Proof) {
+		at.add(l.Place)
+	}
+	return len(at) >= crashesToPause
 }
 
 // sweep drops what is to be forgotten.
 func (t *Table) sweep(now time.Duration) {
-	for f, losses := range t.suspects {
+	for f, losses := range t.crashes {
 		if now-losses[len(losses)-1].At >= t.opt.Forget {
-			delete(t.suspects, f)
+			delete(t.crashes, f)
 		}
 	}
 }
