Losses are told to all instances by rows, which outlive them

On a managed platform nothing carried a loss from one instance to another, a restart forgot all, and IDs of losses began anew with each process, so that some were taken for known. Each of ten instances let the request through until it had seen its crashes by itself.

A loss is a row beside those of instances, in the feed that all follow anyway: no further read. It is told when its endpoint crashed, or when the request was lost before; written again when it is proved; removed, and so forgotten by all, when the request is found harmless.

--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -35,6 +35,9 @@
 	// InFlight and Leaving are asked before each write.
 	InFlight func() int
 	Leaving  func() bool
+	// Follow, if set, is shown all changes that are read, so that rows of other
+	// kinds may lie beside these.
+	Follow func(infra.Changes)
 }
 
 // Controller writes this instance's row and follows the others'.
@@ -61,7 +64,7 @@
 
 // New returns a Controller.
 func New(o Options) *Controller {
-	homes := partsOf(o.Self.Name)
+	homes := Homes(o.Self.Name)
 	return &Controller{
 		o: o, own: [2]infra.Table{o.Rows.Part(homes[0]), o.Rows.Part(homes[1])},
 		rows: map[string]row{}, seen: map[string]sighting{}, urge: make(chan struct{}, 1),
@@ -160,6 +163,9 @@
 		return
 	}
 	c.apply(changes)
+	if c.o.Follow != nil {
+		c.o.Follow(changes)
+	}
 	c.take(now)
 	c.publish(now)
 	c.synced.Store(true)
--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -35,9 +35,9 @@
 	Streams map[string]int `json:"streams,omitempty"`
 }
 
-// partsOf names the two parts that an instance's row may lie in. The second one
+// Homes names the two parts that an instance's rows may lie in. The second one
 // is for when the first one can't be written: a store may be down in part.
-func partsOf(name string) [2]string {
+func Homes(name string) [2]string {
 	h := fnv.New32a()
 	h.Write([]byte(name))
 	home := h.Sum32() % parts
--- a/controller/suspects/suspects.go
+++ b/controller/suspects/suspects.go
@@ -1,6 +1,7 @@
 // Package suspects spreads between instances which requests were lost with the
 // endpoint that ran them, so that a request that crashes endpoints is known
-// wherever it comes back.
+// wherever it comes back: with the exchanges between instances, or by rows of the
+// platform's table where that is all that instances share.
 package suspects
 
 import (
@@ -22,6 +23,13 @@
 	Hear(rumours []poison.Rumour)
 }
 
+// Forgetter is a Hearer that forgets losses that another instance found
+// harmless.
+type Forgetter interface {
+	Hearer
+	Forget(ids []string)
+}
+
 // Controller rides on the exchanges between instances.
 type Controller struct {
 	// Spread begins a rumour.
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -17,6 +17,7 @@
 	"github.com/cumincove/cumincove/controller/presence"
 	"github.com/cumincove/cumincove/controller/scaling"
 	"github.com/cumincove/cumincove/controller/steps"
+	"github.com/cumincove/cumincove/controller/suspects"
 	"github.com/cumincove/cumincove/controller/usage"
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/fairqueue"
@@ -93,6 +94,7 @@
 	dispatcher  *dispatch.Dispatcher
 	revocations *filter.Revocations
 	suspects    *filter.Suspects
+	losses      *suspects.Rows
 
 	incarnation uint64
 	leaving     atomic.Bool
@@ -119,6 +121,7 @@
 		},
 		Period: time.Duration(s.Timing.MemberPeriod), Lapse: time.Duration(s.Timing.MemberLapse),
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
+		Follow: func(changes infra.Changes) { m.losses.Follow(changes) },
 	})
 	m.keeper = leases.NewKeeper(leases.Options{
 		Tables: deps.Platform.Own, Clock: deps.Clock, Holder: s.Name, Incarnation: m.incarnation,
@@ -176,12 +179,19 @@
 	m.newSuspects()
 }
 
-// newSuspects builds what knows of requests that crash endpoints.
+// newSuspects builds what knows, and tells others, of requests that crash
+// endpoints.
 func (m *Managed) newSuspects() {
 	instance := fmt.Sprintf("%s/%d", m.d.Settings.Name, m.incarnation)
 	m.suspects = filter.NewSuspects(filter.SuspectsOptions{
 		Name: m.d.Settings.Name, Instance: instance, Clock: m.d.Clock, Views: m.views, Log: m.d.Log, Scope: m.d.Scope,
 	})
+	m.losses = suspects.NewRows(suspects.RowsOptions{
+		Tables: m.d.Platform.Members, Hearer: m.suspects, Views: m.views, Clock: m.d.Clock,
+		Log: m.d.Log, Scope: m.d.Scope, Self: m.d.Settings.Name, Instance: instance,
+	})
+	m.suspects.Tell = m.losses.Tell
+	m.suspects.Untell = m.losses.Untell
 }
 
 func (m *Managed) runners() []runner {
@@ -197,6 +207,7 @@
 		m.d.Pool,
 		m.revocations,
 		m.suspects,
+		m.losses,
 		gauges{m},
 	}
 }
