An endpoint that says in its answers that it leaves gets nothing more

New rule of the platform: a leaving replica says so in every answer, and 2 s after such an answer nothing more may go there from that instance, whatever its entry says. Any answer of the endpoint itself counts: of a request, a stream, a scoring call, a report or an order; not that of another one at its address.

--- a/attempt/call.go
+++ b/attempt/call.go
@@ -19,6 +19,8 @@
 
 // Call is one attempt of a request at one endpoint.
 type Call struct {
+	// Endpoint is the endpoint's name, under which is told that it leaves.
+	Endpoint string
 	// Addr is the endpoint's IP address and port, and Host the header of that
 	// name; empty means Addr.
 	Addr   string
@@ -86,6 +88,9 @@
 		return err
 	}
 	a.Status = resp.StatusCode
+	if a.dialect.Leaving(resp.StatusCode, resp.Header) {
+		a.pool.TellLeaving(a.call.Endpoint)
+	}
 	a.Length = resp.ContentLength
 	if a.Length < 0 || a.Length > wholeBytes || a.call.Stream {
 		return nil
--- a/attempt/dialect.go
+++ b/attempt/dialect.go
@@ -18,6 +18,9 @@
 	NotRunValue  string
 	// StampHeader must be in each success; empty means that none is needed.
 	StampHeader string
+	// LeavingHeader is in each answer of an endpoint that is about to leave;
+	// empty means that endpoints don't say so.
+	LeavingHeader string
 	// PassHeaders lets all headers through, both ways, but those of one
 	// connection and credentials. Otherwise only well-known ones pass.
 	PassHeaders bool
@@ -84,6 +87,13 @@
 	return out
 }
 
+// Leaving reports whether an answer says that its endpoint is about to leave.
+// That of an endpoint that was not meant tells nothing of the one that was.
+func (d Dialect) Leaving(status int, h http.Header) bool {
+	misdirected := d.Strict && status == http.StatusMisdirectedRequest
+	return d.LeavingHeader != "" && h.Get(d.LeavingHeader) != "" && !misdirected
+}
+
 // refused reports whether an answer promises that the endpoint did no work.
 func (d Dialect) refused(status int, h http.Header) bool {
 	if d.Strict && status == http.StatusMisdirectedRequest {
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -47,6 +47,8 @@
 	opt   Options
 	tr    *http.Transport
 	hosts sync.Map // address to *host
+	// leaving is told of endpoints that say that they leave.
+	leaving func(endpoint string)
 }
 
 // host holds the unused connections to one address, oldest first.
@@ -83,6 +85,19 @@
 	}
 }
 
+// OnLeaving sets what is told, by name, of each endpoint whose answer says that
+// it is about to leave, and before the answer is passed on. It may be told again
+// and again. It is set before the first attempt.
+func (p *Pool) OnLeaving(f func(endpoint string)) { p.leaving = f }
+
+// TellLeaving tells of an endpoint that is about to leave. It is for answers that
+// did not come through the Pool.
+func (p *Pool) TellLeaving(endpoint string) {
+	if p.leaving != nil {
+		p.leaving(endpoint)
+	}
+}
+
 // Dialect returns how the endpoints are spoken to.
 func (p *Pool) Dialect() Dialect { return p.opt.Dialect }
 
--- a/controller/intent/controller.go
+++ b/controller/intent/controller.go
@@ -226,13 +226,13 @@
 // changed reports whether the endpoints differ from those in the snapshot, and
 // logs how.
 func (c *Controller) changed(list []infra.Replica) bool {
-	known := c.o.Views.Load().AllEndpoints()
+	known := map[string]infra.Replica{}
+	for _, r := range c.o.Views.Load().Replicas() {
+		known[r.Name] = r
+	}
 	changed := len(list) != len(known)
 	for _, r := range list {
-		e, ok := known[r.Name]
-		leaving := r.State != infra.EndpointRunning
-		same := ok && e.Addr == r.Addr && e.Incarnation == r.Incarnation && e.Leaving == leaving && sameWeights(e.Weights, r.Weights)
-		if same {
+		if old, ok := known[r.Name]; ok && same(old, r) {
 			continue
 		}
 		changed = true
@@ -254,6 +254,12 @@
 	return true
 }
 
+// same reports whether an endpoint's entry is as it was, as far as the snapshot
+// holds it.
+func same(a, b infra.Replica) bool {
+	return a.Addr == b.Addr && a.Incarnation == b.Incarnation && a.State == b.State && sameWeights(a.Weights, b.Weights)
+}
+
 func sameWeights(a, b map[string]uint64) bool {
 	if len(a) != len(b) {
 		return false
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -321,6 +321,7 @@
 		t.a.Prepare(r, slot.Endpoint, h)
 	}
 	return &attempt.Call{
+		Endpoint:  slot.Endpoint.Name,
 		Addr:      slot.Endpoint.Addr,
 		Host:      t.host(),
 		Method:    r.Method,
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -177,6 +177,19 @@
 		Views: m.views, Freshness: m.intent, Clock: m.d.Clock,
 	})
 	m.newSuspects()
+	m.d.Pool.OnLeaving(m.leaves)
+}
+
+// leaves notes an endpoint that says in its answers that it leaves. Its entry may
+// say so later, or never.
+func (m *Managed) leaves(endpoint string) {
+	e, ok := m.views.Load().EndpointByName(endpoint)
+	if !ok || e.Leaving {
+		return
+	}
+	m.views.Update(func(v *view.View) { v.SetLeaving(endpoint) })
+	m.d.Scope.Counter("endpoints_said_leaving").Inc(1)
+	m.d.Log.Info("endpoint says that it leaves", "endpoint", endpoint, "incarnation", e.Incarnation)
 }
 
 // newSuspects builds what knows, and tells others, of requests that crash
--- a/view/resolve.go
+++ b/view/resolve.go
@@ -33,6 +33,28 @@
 // changed.
 func (v *View) Replicas() []infra.Replica { return v.replicas }
 
+// maxLeft bounds the endpoints that are remembered to leave, beyond those there
+// are.
+const maxLeft = 1_024
+
+// SetLeaving marks an endpoint as leaving, whatever its entry says, until it has
+// started anew. It is for use within Store.Update only.
+func (v *View) SetLeaving(name string) {
+	e, ok := v.byName[name]
+	if !ok || e.Leaving {
+		return
+	}
+	v.left = maps.Clone(v.left)
+	if len(v.left) >= maxLeft {
+		maps.DeleteFunc(v.left, func(name string, _ int64) bool { return v.byName[name] == nil })
+	}
+	if v.left == nil {
+		v.left = map[string]int64{}
+	}
+	v.left[name] = e.Incarnation
+	v.resolve()
+}
+
 // SetLoad takes in new load reports by the endpoints' names. It is for use
 // within Store.Update only.
 //
@@ -112,6 +134,9 @@
 	if l, ok := v.loads[e.Name]; ok {
 		e.setLoad(l)
 	}
+	if incarnation, ok := v.left[e.Name]; ok && incarnation == e.Incarnation {
+		e.Leaving = true
+	}
 	v.byName[e.Name] = e
 }
 
--- a/view/view.go
+++ b/view/view.go
@@ -32,6 +32,9 @@
 	replicas []infra.Replica
 	loads    map[string]LoadReport
 	byName   map[string]*Endpoint
+	// left holds, by name, the incarnation of endpoints that said that they
+	// leave.
+	left map[string]int64
 }
 
 // Member is an instance as membership sees it.
