Endless bytes: bounds on what is read for one event, chunk or report

Plain requests went to another endpoint at once already, and heads, chunk sizes, trailers and unmarked bodies were bounded. The own protocol's chunks, load reports and operators' answers were bounded in time only.

memnet: writes to a connection whose other end is closed fail, as with sockets; without that no test could see that a connection was given up.

--- a/api/client.go
+++ b/api/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -108,15 +109,18 @@
 	if r.StatusCode >= http.StatusBadRequest {
 		return resp, remoteError(r)
 	}
-	if err := json.NewDecoder(r.Body).Decode(&resp); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxAnswerBytes)).Decode(&resp); err != nil {
 		return resp, fmt.Errorf("decode answer: %w", err)
 	}
 	return resp, nil
 }
 
+// maxAnswerBytes bounds an answer.
+const maxAnswerBytes = 64 << 20
+
 func remoteError(r *http.Response) error {
 	e := &RemoteError{Status: r.StatusCode}
-	if err := json.NewDecoder(r.Body).Decode(&e.Body); err != nil {
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxAnswerBytes)).Decode(&e.Body); err != nil {
 		e.Body.Message = r.Status
 	}
 	return e
--- a/controller/load/load.go
+++ b/controller/load/load.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -118,6 +119,9 @@
 	return reports
 }
 
+// maxReport bounds a report, in bytes.
+const maxReport = 1 << 20
+
 func (c *Controller) read(ctx context.Context, addr string) (engine.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
 	defer cancel()
@@ -134,7 +138,7 @@
 		return engine.Load{}, fmt.Errorf("load report: status %d", resp.StatusCode)
 	}
 	var l engine.Load
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&l); err != nil {
 		return engine.Load{}, fmt.Errorf("decode load report: %w", err)
 	}
 	return l, nil
--- a/engine/client.go
+++ b/engine/client.go
@@ -55,19 +55,42 @@
 		return err
 	}
 	defer resp.Body.Close()
-	dec := json.NewDecoder(resp.Body)
+	body := &chunkReader{r: resp.Body, left: chunkBytes}
+	dec := json.NewDecoder(body)
 	for {
 		var chunk Chunk
 		if err := dec.Decode(&chunk); err != nil {
 			return streamError(ctx, err)
 		}
 		watch.Reset(c.Idle)
+		body.left = chunkBytes
 		if !each(chunk) || chunk.Done {
 			return nil
 		}
 	}
 }
 
+// chunkBytes bounds what is read for one chunk of a stream.
+const chunkBytes = 1 << 20
+
+var errChunkTooLong = errors.New("chunk is too long")
+
+// chunkReader reads up to a number of bytes, which is renewed with each chunk.
+type chunkReader struct {
+	r    io.Reader
+	left int
+}
+
+// Read fails once the bytes are used up.
+func (c *chunkReader) Read(p []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errChunkTooLong
+	}
+	n, err := c.r.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
 func streamError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
--- /dev/null
+++ b/engine/client_test.go
@@ -0,0 +1,40 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cumincove/cumincove/engine"
+)
+
+// TestEndlessChunkIsGivenUp: after a bounded number of bytes, whether they are
+// part of a value or lie between two.
+func TestEndlessChunkIsGivenUp(t *testing.T) {
+	const enough = 64 << 20
+	for _, begin := range []string{`{"index":0,"text":"`, ""} {
+		var sent atomic.Int64
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(engine.RequestIDHeader, r.Header.Get(engine.RequestIDHeader))
+			_, err := w.Write([]byte(begin))
+			part := []byte(strings.Repeat(" ", 64<<10))
+			for err == nil && sent.Load() < enough {
+				var n int
+				n, err = w.Write(part)
+				sent.Add(int64(n))
+			}
+		}))
+		c := engine.Client{HTTP: srv.Client(), FirstByte: time.Minute, Idle: time.Minute, Timeout: time.Minute}
+		addr := strings.TrimPrefix(srv.URL, "http://")
+		err := c.Generate(context.Background(), addr, "id", engine.GenerateRequest{}, func(engine.Chunk) bool { return true })
+		if !errors.Is(err, engine.ErrTruncated) || sent.Load() >= enough {
+			t.Errorf("begun with %q: %v after %d bytes", begin, err, sent.Load())
+		}
+		srv.Close()
+	}
+}
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -140,6 +140,7 @@
 		select {
 		case p := <-c.queue:
 			if _, err := c.Conn.Write(p); err != nil {
+				c.breaking.Do(func() { close(c.broken) }) // further writes fail
 				return
 			}
 		case <-c.broken:
