--- a/attempt/dial.go
+++ b/attempt/dial.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// WithConnectTimeout bounds the time that dialling takes. Transports go on
+// dialling after their request has ended, so each dial needs a bound of its own.
+func WithConnectTimeout(dial DialFunc, timeout time.Duration) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, addr)
+	}
+}
+
 // SetUserTimeout lets the kernel give a connection up when sent data stays
 // unacknowledged for timeout (TCP_USER_TIMEOUT, tcp(7)). Connections other
 // than the kernel's are left as they are.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,9 +149,7 @@
 
 // New builds an instance. Nothing runs before Run.
 func New(deps Deps) *Daemon {
-	// The transports go on dialling after their request has ended, so each
-	// dial needs a bound of its own.
-	deps.Dial = dialWithin(connectTimeout, deps.Dial)
+	deps.Dial = attempt.WithConnectTimeout(deps.Dial, connectTimeout)
 	d := &Daemon{d: deps, views: view.NewStore(), incarnation: uint64(time.Now().UnixNano())}
 	d.transport = &http.Transport{
 		DialContext:         deps.Dial,
@@ -232,15 +230,6 @@
 // dialFunc opens a connection.
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// dialWithin bounds the time that dialling takes.
-func dialWithin(limit time.Duration, dial dialFunc) dialFunc {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		return dial(ctx, network, addr)
-	}
-}
-
 // Run serves until ctx ends, then shuts down gracefully. It returns an error
 // if a listener can't be opened.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -31,7 +31,7 @@
 // newRollouts needs the duties.
 func (d *Daemon) newRollouts() rollouts {
 	targets := weights.Targets{Table: d.d.Platform.Table}
-	orders := httpapi.NewTransport(httpapi.DialFunc(dialWithin(connectTimeout, d.d.Dial)))
+	orders := httpapi.NewTransport(httpapi.DialFunc(d.d.Dial))
 	return rollouts{
 		targets: targets,
 		orders:  orders,
