Endpoints that are not at their address get nothing for a second

What callers saw: while endpoints crashed and came back under other names, pages were refused with 'every endpoint that was tried refused'. Cause: a connection that is refused counted as one failure of several before an ejection, and an answer of another endpoint at the address (421) even as a good answer, quick and idle, which drew the next request. Attempts were used up there.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -66,6 +66,36 @@
 	})
 }
 
+// TestAbsentEndpointGetsNothingForAWhile: neither one alone nor all of them,
+// after which they are tried again.
+func TestAbsentEndpointGetsNothingForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, endpoints := newBed(t)
+		work := Work{Service: "s", Team: "a", Deadline: simDeadline}
+		absent := map[string]bool{}
+		for range endpoints {
+			slot, err := d.Acquire(t.Context(), work)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if absent[slot.Endpoint.Name] {
+				t.Fatalf("%s is absent and gets more", slot.Endpoint.Name)
+			}
+			absent[slot.Endpoint.Name] = true
+			slot.Done(Absent)
+		}
+		began := time.Now()
+		slot, err := d.Acquire(t.Context(), work)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(began); waited < absentTime || waited > 2*absentTime {
+			t.Errorf("waited %v while all were absent", waited)
+		}
+		slot.Done(Answered)
+	})
+}
+
 // TestSelectionDoesNotQueue: work that one endpoint of nine can do gets no other,
 // and is refused at once when that is full.
 func TestSelectionDoesNotQueue(t *testing.T) {
--- a/dispatch/slot.go
+++ b/dispatch/slot.go
@@ -25,8 +25,14 @@
 	Overloaded
 	// Failed: no whole answer came.
 	Failed
+	// Absent: nothing listens at its address, or another endpoint does.
+	Absent
 )
 
+// absentTime is how long an endpoint gets nothing that was not at its address.
+// The snapshot shows in about that time what is there.
+const absentTime = time.Second
+
 // Slot is a place at an endpoint. It belongs to one goroutine.
 type Slot struct {
 	Endpoint *view.Endpoint
@@ -109,6 +115,9 @@
 		st.stats.Failed.Add(1)
 		st.limiter.Dropped(now)
 		s.eject(now)
+	case Absent:
+		st.stats.Failed.Add(1)
+		st.ejectedUntil.Store(max(st.ejectedUntil.Load(), int64(now+absentTime)))
 	}
 	st.limit.Store(int64(st.limiter.Limit()))
 	st.faultRate.Store(math.Float64bits(st.health.FaultRate()))
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cumincove/cumincove/attempt"
@@ -292,7 +293,8 @@
 // mendable reports whether another endpoint may do better. None can once the
 // request itself was stopped.
 func (t *try) mendable(err error) bool {
-	return t.resultOf(err) == dispatch.Failed
+	result := t.resultOf(err)
+	return result == dispatch.Failed || result == dispatch.Absent
 }
 
 // resultOf says what an attempt's error tells of its endpoint: nothing, if the
@@ -301,6 +303,9 @@
 	if t.ctx.Err() != nil {
 		return dispatch.Unused
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return dispatch.Absent
+	}
 	switch asCode(err).Number {
 	case code.EndpointRefused, code.EndpointLost, code.FirstByteTimeout,
 		code.IdleTimeout, code.AnswerTruncated, code.AnswerMismatch:
--- a/filter/pass.go
+++ b/filter/pass.go
@@ -33,7 +33,10 @@
 	place := placeOf(answer.Status)
 	switch {
 	case answer.Refused():
-		t.elsewhere(slot, answer)
+		if answer.Status == http.StatusMisdirectedRequest {
+			place = dispatch.Absent
+			t.ended(slot)
+		}
 		t.end(slot, outcome.Refused, place)
 		return true, code.New(code.EndpointRefused, "endpoint %s: status %d, not run", slot.Endpoint.Name, answer.Status)
 	case t.mendableElsewhere(answer.Status) && t.r.Service.Idempotent && t.mayTryAgain():
--- a/filter/suspect.go
+++ b/filter/suspect.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cumincove/cumincove/attempt"
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/poison"
@@ -143,9 +141,9 @@
 	return t.a.Pool.Probe(ctx, addr)
 }
 
-// elsewhere notes an answer that says that the endpoint is not at its address.
-func (t *try) elsewhere(slot *dispatch.Slot, answer *attempt.Answer) {
-	if t.a.Suspects != nil && answer.Status == http.StatusMisdirectedRequest {
+// ended notes an answer that says that the endpoint is not at its address.
+func (t *try) ended(slot *dispatch.Slot) {
+	if t.a.Suspects != nil {
 		t.a.Suspects.ended(slot.Endpoint)
 	}
 }
