Losses from before a machine's start count as elsewhere

Found by reading: the time of the last loss began at zero, so that after a restart of all on young machines each counted the pause, and whose turn it is to try a suspect, from its own start (the new test failed before: another time since). The fingerprint of a request is made once now.

--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/outcome"
+	"github.com/cumincove/cumincove/poison"
 	"github.com/cumincove/cumincove/resume"
 	"github.com/cumincove/cumincove/retry"
 	"github.com/cumincove/cumincove/view"
@@ -140,8 +141,10 @@
 	budget *teamBudget
 	// last is the endpoint of the last attempt.
 	last string
-	// suspicion says how the attempt is made.
+	// suspicion says how the attempt is made, and content is the request's
+	// fingerprint once it is needed.
 	suspicion suspicion
+	content   poison.Fingerprint
 	// stream is the token stream, if it may go on elsewhere; else nil.
 	stream *resume.Stream
 	// losses counts the endpoints that crashed with the request.
--- a/filter/suspect.go
+++ b/filter/suspect.go
@@ -17,7 +17,6 @@
 // suspicion is what is known against a request.
 type suspicion struct {
 	poison.Judgement
-	content poison.Fingerprint
 	// endTurn ends the turn of one that runs alone.
 	endTurn func()
 }
@@ -60,14 +59,22 @@
 // streams of that endpoint would wait for each other. From the second loss on it
 // runs alone.
 func (t *try) judge() suspicion {
-	if t.a.Suspects == nil {
+	if t.a.Suspects == nil || !t.a.Suspects.any() {
 		return suspicion{}
 	}
-	judgement, content := t.a.Suspects.judge(t.r)
+	judgement := t.a.Suspects.judge(t.fingerprint())
 	if judgement.Verdict < poison.Wait && t.losses == 1 && t.policy().Resume {
 		judgement.Verdict = poison.Run
 	}
-	return suspicion{Judgement: judgement, content: content}
+	return suspicion{Judgement: judgement}
+}
+
+// fingerprint identifies the request. It is made once, when it is needed.
+func (t *try) fingerprint() poison.Fingerprint {
+	if t.content == (poison.Fingerprint{}) {
+		t.content = fingerprint(t.r)
+	}
+	return t.content
 }
 
 func (t *try) place() (*dispatch.Slot, error) {
@@ -79,7 +86,7 @@
 	case poison.Refuse:
 		return nil, t.refuse(code.Poison)
 	}
-	end, err := t.a.Suspects.turn(t.ctx, t.suspicion.content)
+	end, err := t.a.Suspects.turn(t.ctx, t.fingerprint())
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +97,7 @@
 // refuse ends a request that crashed endpoints, or may have.
 func (t *try) refuse(n code.Number) error {
 	t.r.Logger().Warn("poison request refused", "service", t.r.Service.Name,
-		"content", t.suspicion.content, "code", int(n), "for", t.suspicion.After)
+		"content", t.fingerprint(), "code", int(n), "for", t.suspicion.After)
 	err := code.New(n, "")
 	err.RetryAfter = t.suspicion.After
 	return err
@@ -113,7 +120,7 @@
 	}
 	e := slot.Endpoint
 	loss := poison.Rumour{
-		Fingerprint: fingerprint(t.r), Endpoint: e.Name, Incarnation: e.Incarnation,
+		Fingerprint: t.fingerprint(), Endpoint: e.Name, Incarnation: e.Incarnation,
 		Alone: t.suspicion.alone(), Begun: begun,
 	}
 	log := t.r.Logger().With("endpoint", e.Name, "incarnation", e.Incarnation,
@@ -161,6 +168,6 @@
 // cleared notes a whole answer to a request of which losses are known.
 func (t *try) cleared() {
 	if t.suspicion.Known {
-		t.a.Suspects.answered(t.suspicion.content, t.suspicion.alone())
+		t.a.Suspects.answered(t.fingerprint(), t.suspicion.alone())
 	}
 }
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -25,6 +25,7 @@
 	Clock    clock.Clock
 	// Views tell which endpoints there are.
 	Views *view.Store
+	// Log is optional.
 	Log   *slog.Logger
 	Scope tally.Scope
 }
@@ -52,6 +53,9 @@
 
 // NewSuspects returns Suspects that know of none.
 func NewSuspects(o SuspectsOptions) *Suspects {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Suspects{
 		o: o, table: poison.New(poison.DefaultOptions()),
 		turns: map[poison.Fingerprint]chan struct{}{},
@@ -83,20 +87,18 @@
 // counted notes the number of suspects. The caller holds the lock.
 func (s *Suspects) counted() { s.count.Store(int64(s.table.Len())) }
 
-// judge says how a request is to be run, and by which fingerprint it is known.
-// While nobody is suspect the fingerprint is empty.
-func (s *Suspects) judge(r *Request) (poison.Judgement, poison.Fingerprint) {
-	if s.count.Load() == 0 {
-		return poison.Judgement{}, poison.Fingerprint{}
-	}
-	f := fingerprint(r)
+// any reports whether there is anybody to judge.
+func (s *Suspects) any() bool { return s.count.Load() > 0 }
+
+// judge says how a request is to be run.
+func (s *Suspects) judge(f poison.Fingerprint) poison.Judgement {
 	s.mu.Lock()
 	j := s.table.Judge(s.o.Clock.Now(), f)
 	s.mu.Unlock()
 	if j.Trial && !s.tries(f, j.Since) {
 		j.Verdict, j.After = poison.Wait, trialWait
 	}
-	return j, f
+	return j
 }
 
 const (
@@ -154,7 +156,7 @@
 
 // prove makes crashes of the losses whose endpoints are gone or started anew.
 func (s *Suspects) prove() {
-	if s.count.Load() == 0 {
+	if !s.any() {
 		return
 	}
 	v := s.o.Views.Load()
@@ -171,7 +173,7 @@
 
 // ended notes that an endpoint is not at its address any more.
 func (s *Suspects) ended(e *view.Endpoint) {
-	if s.count.Load() == 0 {
+	if !s.any() {
 		return
 	}
 	s.crashed("address", func(now time.Duration) []poison.Rumour {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -206,6 +206,21 @@
 	}
 }
 
+// TestLossBeforeTheMachineStarted: heard after a restart, when it was at a
+// negative time of the new machine, it counts as elsewhere.
+func TestLossBeforeTheMachineStarted(t *testing.T) {
+	old, young := New(DefaultOptions()), New(DefaultOptions())
+	f := fingerprint(0)
+	for i := range crashesToRefuse {
+		old.Lost(time.Hour, f, crashAt(fmt.Sprint(i), time.Hour, false))
+	}
+	now := time.Hour + 20*time.Second
+	young.Hear(time.Second, old.Rumours(now, 10))
+	if got, want := young.Judge(time.Second, f), old.Judge(now, f); got != want || !got.Trial {
+		t.Errorf("the young machine's judgement %+v, the old one's %+v", got, want)
+	}
+}
+
 // TestDoubts: losses at endpoints that live on blame nobody, and those at
 // endpoints that turn out to have crashed count as if that had been known.
 func TestDoubts(t *testing.T) {
--- a/poison/table.go
+++ b/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -103,7 +104,7 @@
 // Judge says how a request is to be run at time now.
 func (t *Table) Judge(now time.Duration, f Fingerprint) Judgement {
 	var crashed, lost places
-	var last time.Duration
+	last := time.Duration(math.MinInt64)
 	verdict, alone := Run, false
 	for _, l := range t.crashes[f] {
 		if now-l.At >= t.opt.Forget {
@@ -122,6 +123,9 @@
 		lost.add(l.Place)
 		last = max(last, l.At)
 	}
+	if len(lost) == 0 {
+		return Judgement{}
+	}
 	often := len(lost) >= lossesToPause || len(crashed) > 0 && len(lost) >= crashesToPause
 	switch {
 	case len(crashed) >= crashesToRefuse && alone:
@@ -130,7 +134,7 @@
 		return Judgement{Verdict: Wait, Known: true, After: last + t.opt.Pause - now}
 	}
 	return Judgement{
-		Verdict: verdict, Known: len(lost) > 0,
+		Verdict: verdict, Known: true,
 		Trial: len(crashed) >= crashesToRefuse, Since: now - last,
 	}
 }
