--- a/controller/suspects/rows.go
+++ b/controller/suspects/rows.go
@@ -31,10 +31,10 @@
 	// two tries.
 	callTimeout = time.Second
 	retryPause  = 200 * time.Millisecond
-	// keepCrash and keepDoubt are how long a row is kept: at least as long as
+	// keepCrash and keepUnconfirmed are how long a row is kept: at least as long as
 	// what it tells counts.
-	keepCrash = 10 * time.Minute
-	keepDoubt = time.Minute
+	keepCrash       = 10 * time.Minute
+	keepUnconfirmed = time.Minute
 	// cleanPeriod is the time between two looks for rows to remove.
 	cleanPeriod = 30 * time.Second
 )
@@ -118,8 +118,8 @@
 	c.wake()
 }
 
-// Untell has the rows of losses removed, so that all forget them.
-func (c *Rows) Untell(ids []string) {
+// Retract has the rows of losses removed, so that all forget them.
+func (c *Rows) Retract(ids []string) {
 	c.mu.Lock()
 	c.queue = slices.DeleteFunc(c.queue, func(q queued) bool { return slices.Contains(ids, q.ID) })
 	if len(c.remove) < maxQueue {
@@ -144,7 +144,7 @@
 		select {
 		case <-c.kick:
 			c.writeAll(ctx)
-			c.removeUntold(ctx)
+			c.removeRetracted(ctx)
 		case <-clean.C:
 			c.clean(ctx)
 		case <-ctx.Done():
@@ -282,14 +282,14 @@
 	r, err := decode(id, change.Value)
 	if err != nil {
 		c.o.Log.Warn("row of a loss is unreadable", "row", change.Key, "error", err)
-		c.known[change.Key] = known{until: now + keepDoubt}
+		c.known[change.Key] = known{until: now + keepUnconfirmed}
 		return poison.Rumour{}, false
 	}
 	old, there := c.known[change.Key]
 	if there && old.crashed == r.Crashed {
 		return poison.Rumour{}, false
 	}
-	keep := keepDoubt
+	keep := keepUnconfirmed
 	if r.Crashed {
 		keep = keepCrash
 	}
@@ -335,8 +335,8 @@
 	c.removeRows(ctx, old)
 }
 
-// removeUntold removes the rows of losses that are to be forgotten.
-func (c *Rows) removeUntold(ctx context.Context) {
+// removeRetracted removes the rows of losses that are to be forgotten.
+func (c *Rows) removeRetracted(ctx context.Context) {
 	c.mu.Lock()
 	ids := c.remove
 	c.remove = nil
--- a/controller/suspects/rows_test.go
+++ b/controller/suspects/rows_test.go
@@ -80,7 +80,7 @@
 }
 
 // TestLossesOutliveTheInstancesThatWroteThem: another instance hears of a loss
-// within the period of its reads, of its proof as well, and so does one that
+// within the period of its reads, of its confirmation as well, and so does one that
 // starts when all are gone, with the loss's age.
 func TestLossesOutliveTheInstancesThatWroteThem(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
@@ -139,7 +139,7 @@
 		a.Tell(rumour("a/1/1", true))
 		a.Tell(rumour("a/1/2", true))
 		time.Sleep(2 * time.Second)
-		b.Untell([]string{"a/1/1"})
+		b.Retract([]string{"a/1/1"})
 		time.Sleep(2 * time.Second)
 		if !slices.Contains(a.forgot, "a/1/1") || slices.Contains(a.forgot, "a/1/2") {
 			t.Errorf("a forgot %v", a.forgot)
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -33,10 +33,10 @@
 // Suspects holds what is known of requests that crash endpoints. It is safe
 // for concurrent use.
 type Suspects struct {
-	// Tell, if set, tells other instances of a loss, and Untell that losses are
+	// Tell, if set, tells other instances of a loss, and Retract that losses are
 	// to be forgotten. They are set before the first request.
-	Tell   func(poison.Rumour)
-	Untell func(ids []string)
+	Tell    func(poison.Rumour)
+	Retract func(ids []string)
 
 	o SuspectsOptions
 	// count is the number of suspects; while it is zero no request is
@@ -67,7 +67,7 @@
 func (s *Suspects) Run(ctx context.Context) error {
 	for {
 		changed := s.o.Views.Changed()
-		s.prove()
+		s.confirm()
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -154,14 +154,14 @@
 	}
 }
 
-// prove makes crashes of the losses whose endpoints are gone or started anew.
-func (s *Suspects) prove() {
+// confirm makes crashes of the losses whose endpoints are gone or started anew.
+func (s *Suspects) confirm() {
 	if !s.any() {
 		return
 	}
 	v := s.o.Views.Load()
 	s.crashed("entry", func(now time.Duration) []poison.Rumour {
-		return s.table.Prove(now, func(endpoint string) poison.State {
+		return s.table.Confirm(now, func(endpoint string) poison.State {
 			e, ok := v.EndpointByName(endpoint)
 			if !ok {
 				return poison.State{}
@@ -205,8 +205,8 @@
 	ids := s.table.Answered(s.o.Clock.Now(), f, alone)
 	s.counted()
 	s.mu.Unlock()
-	if len(ids) > 0 && s.Untell != nil {
-		s.Untell(ids)
+	if len(ids) > 0 && s.Retract != nil {
+		s.Retract(ids)
 	}
 }
 
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -204,7 +204,7 @@
 		Log: m.d.Log, Scope: m.d.Scope, Self: m.d.Settings.Name, Instance: instance,
 	})
 	m.suspects.Tell = m.losses.Tell
-	m.suspects.Untell = m.losses.Untell
+	m.suspects.Retract = m.losses.Retract
 }
 
 func (m *Managed) runners() []runner {
--- a/poison/doc.go
+++ b/poison/doc.go
@@ -13,7 +13,7 @@
 //
 // An endpoint that lost a request has crashed if it takes no new connections
 // then. Otherwise it may turn out later: its entry lapses, or it is found to have
-// started anew. Until then the loss is a doubt. Doubts blame nobody, but a
+// started anew. Until then the loss is unconfirmed. Such losses blame nobody, but a
 // request that was lost at three endpoints waits for a pause as well.
 //
 // Losses spread between instances as Rumours, which may arrive late, twice and
--- a/poison/loss.go
+++ b/poison/loss.go
@@ -62,50 +62,50 @@
 	Leaving bool
 }
 
-// proof is what is known of a loss whose endpoint may have crashed.
-type proof int
+// confirmation is what is known of a loss whose endpoint may have crashed.
+type confirmation int
 
 const (
-	undecided proof = iota
-	proven
-	unprovable
+	undecided confirmation = iota
+	confirmed
+	unconfirmable
 )
 
-// proof says what the state of an endpoint tells of a loss at a start of it.
-func (s State) proof(at Place) proof {
+// confirms says what the state of an endpoint tells of a loss at a start of it.
+func (s State) confirms(at Place) confirmation {
 	switch {
 	case !s.Present || s.Incarnation != at.Incarnation:
-		return proven
+		return confirmed
 	case s.Leaving:
-		return unprovable
+		return unconfirmable
 	}
 	return undecided
 }
 
-// doubt is a loss at an endpoint that may have crashed.
-type doubt struct {
+// unconfirmedLoss is a loss at an endpoint that may have crashed.
+type unconfirmedLoss struct {
 	f Fingerprint
 	Loss
 }
 
-// doubts is a bounded list of them, oldest first.
-type doubts struct{ list []doubt }
+// unconfirmedLosses is a bounded list of them, oldest first.
+type unconfirmedLosses struct{ list []unconfirmedLoss }
 
 // add adds a loss, once, and forgets the oldest one if there are too many.
-func (d *doubts) add(f Fingerprint, l Loss, most int) {
-	if slices.ContainsFunc(d.list, func(o doubt) bool { return l.same(o.Loss) }) {
+func (u *unconfirmedLosses) add(f Fingerprint, l Loss, most int) {
+	if slices.ContainsFunc(u.list, func(o unconfirmedLoss) bool { return l.same(o.Loss) }) {
 		return
 	}
-	if len(d.list) >= most {
-		d.list = slices.Delete(d.list, 0, 1)
+	if len(u.list) >= most {
+		u.list = slices.Delete(u.list, 0, 1)
 	}
-	d.list = append(d.list, doubt{f, l})
+	u.list = append(u.list, unconfirmedLoss{f, l})
 }
 
 // of returns the losses of a request that are younger than a time.
-func (d *doubts) of(f Fingerprint, after time.Duration) []Loss {
+func (u *unconfirmedLosses) of(f Fingerprint, after time.Duration) []Loss {
 	var list []Loss
-	for _, o := range d.list {
+	for _, o := range u.list {
 		if o.f == f && o.At > after {
 			list = append(list, o.Loss)
 		}
@@ -114,16 +114,16 @@
 }
 
 // drop forgets losses of a request.
-func (d *doubts) drop(f Fingerprint, which func(Loss) bool) {
-	d.list = slices.DeleteFunc(d.list, func(o doubt) bool { return o.f == f && which(o.Loss) })
+func (u *unconfirmedLosses) drop(f Fingerprint, which func(Loss) bool) {
+	u.list = slices.DeleteFunc(u.list, func(o unconfirmedLoss) bool { return o.f == f && which(o.Loss) })
 }
 
-// take forgets the losses that are decided, and returns those that are proven.
-func (d *doubts) take(judge func(Loss) proof) []doubt {
-	var out []doubt
-	d.list = slices.DeleteFunc(d.list, func(o doubt) bool {
+// take forgets the losses that are decided, and returns those that are confirmed.
+func (u *unconfirmedLosses) take(judge func(Loss) confirmation) []unconfirmedLoss {
+	var out []unconfirmedLoss
+	u.list = slices.DeleteFunc(u.list, func(o unconfirmedLoss) bool {
 		p := judge(o.Loss)
-		if p == proven {
+		if p == confirmed {
 			out = append(out, o)
 		}
 		return p != undecided
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -221,9 +221,9 @@
 	}
 }
 
-// TestDoubts: losses at endpoints that live on blame nobody, and those at
+// TestUnconfirmedLosses: losses at endpoints that live on blame nobody, and those at
 // endpoints that turn out to have crashed count as if that had been known.
-func TestDoubts(t *testing.T) {
+func TestUnconfirmedLosses(t *testing.T) {
 	opt := DefaultOptions()
 	tab := New(opt)
 	f := fingerprint(0)
@@ -238,26 +238,26 @@
 		t.Errorf("lost at four endpoints: %v", got)
 	}
 	state := func(endpoint string) State { return states[endpoint] }
-	if got := tab.Prove(time.Second, state); len(got) != 0 {
-		t.Errorf("proved %v while all are there", got)
+	if got := tab.Confirm(time.Second, state); len(got) != 0 {
+		t.Errorf("confirmed %v while all are there", got)
 	}
 	delete(states, "gone")
 	states["anew"] = State{Present: true, Incarnation: 7}
 	states["leaves"] = State{Present: true, Leaving: true}
-	if got := tab.Prove(2*time.Second, state); len(got) != 2 || !got[0].Crashed || got[0].Age != 2*time.Second {
-		t.Errorf("proved %+v", got)
+	if got := tab.Confirm(2*time.Second, state); len(got) != 2 || !got[0].Crashed || got[0].Age != 2*time.Second {
+		t.Errorf("confirmed %+v", got)
 	}
 	if got := tab.Ended(2*time.Second, Place{Endpoint: "lives"}); len(got) != 1 {
-		t.Errorf("proved by its address %+v", got)
+		t.Errorf("confirmed by its address %+v", got)
 	}
 	if got := tab.Judge(opt.Pause, f).Verdict; got != Refuse {
 		t.Errorf("after three crashes, one alone: %v", got)
 	}
 }
 
-// TestAnswerEndsDoubts: a request that many send is lost now and then, and
+// TestAnswerEndsUnconfirmedLosses: a request that many send is lost now and then, and
 // answered in between.
-func TestAnswerEndsDoubts(t *testing.T) {
+func TestAnswerEndsUnconfirmedLosses(t *testing.T) {
 	tab := New(DefaultOptions())
 	f := fingerprint(0)
 	for i := range 9 {
--- a/poison/table.go
+++ b/poison/table.go
@@ -32,9 +32,9 @@
 	// Together is how close in time two losses at one endpoint are taken for
 	// one crash.
 	Together time.Duration
-	// Proof is how long after a loss its endpoint may still turn out to have
+	// Confirm is how long after a loss its endpoint may still turn out to have
 	// crashed. It covers the time in which a dead endpoint's entry lapses.
-	Proof time.Duration
+	Confirm time.Duration
 	// Pause is the time between two runs of a request that was lost with several
 	// endpoints.
 	Pause time.Duration
@@ -48,7 +48,7 @@
 func DefaultOptions() Options {
 	return Options{
 		Forget: 10 * time.Minute, Together: 5 * time.Second,
-		Proof: 8 * time.Second, Pause: 5 * time.Second,
+		Confirm: 8 * time.Second, Pause: 5 * time.Second,
 		MaxSuspects: 4_096, MaxLosses: 1_024,
 	}
 }
@@ -67,10 +67,10 @@
 // Table holds what is known of suspects.
 type Table struct {
 	opt Options
-	// crashes holds the losses at endpoints that crashed, and doubts those at
+	// crashes holds the losses at endpoints that crashed, and unconfirmed those at
 	// endpoints that may have.
-	crashes map[Fingerprint][]Loss
-	doubts  doubts
+	crashes     map[Fingerprint][]Loss
+	unconfirmed unconfirmedLosses
 	// cleared holds when a suspect was found harmless, so that older rumours
 	// do not make it suspect again.
 	cleared map[Fingerprint]time.Duration
@@ -86,7 +86,7 @@
 }
 
 // Len returns the number of requests of which losses are known, at most.
-func (t *Table) Len() int { return len(t.crashes) + len(t.doubts.list) }
+func (t *Table) Len() int { return len(t.crashes) + len(t.unconfirmed.list) }
 
 // Judgement says how a request is to be run.
 type Judgement struct {
@@ -119,7 +119,7 @@
 		last = max(last, l.At)
 		alone = alone || l.Alone && !t.shared(f, l)
 	}
-	for _, l := range t.doubts.of(f, now-t.opt.Proof) {
+	for _, l := range t.unconfirmed.of(f, now-t.opt.Confirm) {
 		lost.add(l.Place)
 		last = max(last, l.At)
 	}
@@ -170,12 +170,12 @@
 		return
 	}
 	if !l.Crashed {
-		if now-l.At < t.opt.Proof && !slices.ContainsFunc(t.crashes[f], l.same) {
-			t.doubts.add(f, l, t.opt.MaxLosses)
+		if now-l.At < t.opt.Confirm && !slices.ContainsFunc(t.crashes[f], l.same) {
+			t.unconfirmed.add(f, l, t.opt.MaxLosses)
 		}
 		return
 	}
-	t.doubts.drop(f, l.same)
+	t.unconfirmed.drop(f, l.same)
 	if now-l.At < t.opt.Forget && !slices.ContainsFunc(t.crashes[f], l.same) {
 		t.addCrash(now, f, l)
 	}
@@ -204,7 +204,7 @@
 // Answered notes that a request got a whole answer. One that ran alone is
 // cleared by it: the IDs of its losses are returned, which others are to forget.
 func (t *Table) Answered(now time.Duration, f Fingerprint, alone bool) []string {
-	t.doubts.drop(f, func(Loss) bool { return true })
+	t.unconfirmed.drop(f, func(Loss) bool { return true })
 	if !alone || t.crashes[f] == nil {
 		return nil
 	}
@@ -232,30 +232,30 @@
 	}
 }
 
-// Prove looks at the losses at endpoints that are not known to have crashed.
+// Confirm looks at the losses at endpoints that are not known to have crashed.
 // Those whose endpoints are gone without having been about to leave, or have
 // started anew, become crashes, which it returns.
-func (t *Table) Prove(now time.Duration, state func(endpoint string) State) []Rumour {
-	return t.prove(now, t.doubts.take(func(l Loss) proof {
-		if now-l.At >= t.opt.Proof {
-			return unprovable
+func (t *Table) Confirm(now time.Duration, state func(endpoint string) State) []Rumour {
+	return t.confirm(now, t.unconfirmed.take(func(l Loss) confirmation {
+		if now-l.At >= t.opt.Confirm {
+			return unconfirmable
 		}
-		return state(l.Place.Endpoint).proof(l.Place)
+		return state(l.Place.Endpoint).confirms(l.Place)
 	}))
 }
 
 // Ended makes crashes of the losses at a place that is known to have ended, and
 // returns them.
 func (t *Table) Ended(now time.Duration, at Place) []Rumour {
-	return t.prove(now, t.doubts.take(func(l Loss) proof {
+	return t.confirm(now, t.unconfirmed.take(func(l Loss) confirmation {
 		if l.Place == at {
-			return proven
+			return confirmed
 		}
 		return undecided
 	}))
 }
 
-func (t *Table) prove(now time.Duration, list []doubt) []Rumour {
+func (t *Table) confirm(now time.Duration, list []unconfirmedLoss) []Rumour {
 	var rumours []Rumour
 	for _, d := range list {
 		d.Crashed = true
@@ -266,13 +266,13 @@
 }
 
 // LostOften reports whether a request was lost at several endpoints, so that
-// others are to hear of losses of which nothing is proved.
+// others are to hear of losses of which nothing is confirmed.
 func (t *Table) LostOften(now time.Duration, f Fingerprint) bool {
 	var at places
 	for _, l := range t.crashes[f] {
 		at.add(l.Place)
 	}
-	for _, l := range t.doubts.of(f, now-t.opt.Proof) {
+	for _, l := range t.unconfirmed.of(f, now-t.opt.Confirm) {
 		at.add(l.Place)
 	}
 	return len(at) >= crashesToPause
