--- a/filter/suspect.go
+++ b/filter/suspect.go
@@ -107,15 +107,7 @@
 // connections. Otherwise, and if the request's time is over, that may turn out
 // later.
 func (t *try) suspect(slot *dispatch.Slot, err error, begun bool) {
-	if t.a.Suspects == nil || t.handedAt.IsZero() {
-		return
-	}
-	probe := false
-	switch asCode(err).Number {
-	case code.EndpointLost, code.AnswerTruncated:
-		probe = t.ctx.Err() == nil
-	case code.FirstByteTimeout, code.IdleTimeout, code.CallerTimeout:
-	default:
+	if t.a.Suspects == nil || t.handedAt.IsZero() || !isLoss(err) {
 		return
 	}
 	e := slot.Endpoint
@@ -123,22 +115,46 @@
 		Fingerprint: t.fingerprint(), Endpoint: e.Name, Incarnation: e.Incarnation,
 		Alone: t.suspicion.alone(), Begun: begun,
 	}
-	log := t.r.Logger().With("endpoint", e.Name, "incarnation", e.Incarnation,
-		"content", loss.Fingerprint, "alone", loss.Alone, "begun", begun, "lost", err)
-	if probe {
-		down := t.probe(e.Addr)
-		loss.Crashed = down != nil
-		log = log.With("probe", down)
+	var down error
+	if t.ctx.Err() == nil && isBroken(err) {
+		down = t.probe(e.Addr)
+	}
+	loss.Crashed = down != nil
+	t.noteLoss(loss, err, down)
+	t.a.Suspects.lost(loss)
+}
+
+// isLoss reports whether an attempt ended without a whole answer, be it that
+// nothing came in time or that the caller left.
+func isLoss(err error) bool {
+	switch asCode(err).Number {
+	case code.FirstByteTimeout, code.IdleTimeout, code.CallerTimeout:
+		return true
+	}
+	return isBroken(err)
+}
+
+// isBroken reports whether the endpoint's side ended the attempt.
+func isBroken(err error) bool {
+	switch asCode(err).Number {
+	case code.EndpointLost, code.AnswerTruncated:
+		return true
 	}
+	return false
+}
+
+// noteLoss counts and logs a loss, and what the probe of its endpoint met.
+func (t *try) noteLoss(loss poison.Rumour, err, down error) {
 	t.a.Scope.Tagged(map[string]string{"crashed": strconv.FormatBool(loss.Crashed)}).Counter("requests_lost").Inc(1)
-	if loss.Crashed {
-		t.losses++
-		t.a.Scope.Counter("endpoint_crashes").Inc(1)
-		log.Warn("endpoint crashed", "evidence", "probe")
-	} else {
+	log := t.r.Logger().With("endpoint", loss.Endpoint, "incarnation", loss.Incarnation,
+		"content", loss.Fingerprint, "alone", loss.Alone, "begun", loss.Begun, "lost", err)
+	if !loss.Crashed {
 		log.Info("request lost, its endpoint may have crashed")
+		return
 	}
-	t.a.Suspects.lost(loss)
+	t.losses++
+	t.a.Scope.Counter("endpoint_crashes").Inc(1)
+	log.Warn("endpoint crashed", "evidence", "probe", "probe", down)
 }
 
 // probe checks whether an endpoint takes a new connection.
--- a/poison/loss.go
+++ b/poison/loss.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"log/slog"
 	"slices"
 	"time"
 )
@@ -11,8 +12,8 @@
 // Fingerprint identifies a request by its team and content.
 type Fingerprint [16]byte
 
-// String returns the beginning of the fingerprint in hexadecimal, for logs.
-func (f Fingerprint) String() string { return hex.EncodeToString(f[:6]) }
+// LogValue is the beginning of the fingerprint in hexadecimal.
+func (f Fingerprint) LogValue() slog.Value { return slog.StringValue(hex.EncodeToString(f[:6])) }
 
 // Of returns the fingerprint of the parts, of which the first is the team.
 func Of(parts ...[]byte) Fingerprint {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,6 +148,14 @@
 	}
 }
 
+func TestFingerprintInLogs(t *testing.T) {
+	var out strings.Builder
+	slog.New(slog.NewJSONHandler(&out, nil)).Info("x", "content", Fingerprint{0xab, 1})
+	if !strings.Contains(out.String(), `"content":"ab0100000000"`) {
+		t.Error(out.String())
+	}
+}
+
 func TestForgets(t *testing.T) {
 	opt := DefaultOptions()
 	tab := New(opt)
