proctest: no port is given twice

Cause: ports are drawn at random from 20,000, and the same one was drawn twice for an instance, which its log shows. Ports that were given are remembered. No check is changed.

--- a/internal/proctest/process_test.go
+++ b/internal/proctest/process_test.go
@@ -141,13 +141,19 @@
 	}
 }
 
+// givenPorts holds what freePort has found.
+var givenPorts sync.Map
+
 // freePort finds a port that nothing listens on, below those that the system
 // gives to outgoing connections and to listeners that ask for any port, so that
-// it is still free when the instance starts.
+// it is still free when the instance starts. It finds none twice.
 func (s *system) freePort() string {
 	const first, last = 10_000, 30_000
 	for range 1000 {
 		addr := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(last-first))
+		if _, given := givenPorts.LoadOrStore(addr, true); given {
+			continue
+		}
 		if ln, err := net.Listen("tcp", addr); err == nil {
 			ln.Close()
 			return addr
