Teams' use at other instances is told by member rows

Callers saw: on managed platforms a team that spread its requests over four instances got at each of them as much as a team that used one.

While requests wait at an instance, its member row names the service; the others' rows then tell what teams use of it there, up to eight teams of a service, and stop when nobody waits. The queues charge it as they do where instances exchange it with each other. Team limits have no part in the platform's configuration, so nothing of them is shared there.

TestUseIsToldWhileItIsWanted holds the volume: nothing is told while nothing waits.

--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/cumincove/cumincove/clock"
+	"github.com/cumincove/cumincove/controller/use"
 	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/view"
 )
@@ -35,11 +37,22 @@
 	// InFlight and Leaving are asked before each write.
 	InFlight func() int
 	Leaving  func() bool
+	// Use tells the other instances what teams use here, and is told what they use
+	// there.
+	Use Uses
 	// Follow, if set, is shown all changes that are read, so that rows of other
 	// kinds may lie beside these.
 	Follow func(infra.Changes)
 }
 
+// Uses are what teams use of services.
+type Uses interface {
+	// Say returns this instance's word, given the services whose use others want.
+	Say(wanted []string) use.Word
+	// Hear takes the word of another instance.
+	Hear(instance string, w use.Word)
+}
+
 // Controller writes this instance's row and follows the others'.
 type Controller struct {
 	o Options
@@ -128,6 +141,7 @@
 		Leaving:     c.o.Leaving(),
 		InFlight:    c.o.InFlight(),
 		Streams:     c.streams(),
+		Word:        c.o.Use.Say(c.wanted()),
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -141,6 +155,19 @@
 	}
 }
 
+// wanted lists the services in which requests wait at other living instances.
+func (c *Controller) wanted() []string {
+	var list []string
+	living := c.o.Views.Load().Members
+	for name, r := range c.rows {
+		if _, ok := living[name]; ok && name != c.o.Self.Name {
+			list = append(list, r.Waiting...)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // streams counts what this instance has at endpoints.
 func (c *Controller) streams() map[string]int {
 	counts := map[string]int{}
@@ -186,6 +213,9 @@
 		if !same || gap {
 			c.seen[name] = sighting{row: r, since: now}
 		}
+		if !same && name != c.o.Self.Name {
+			c.o.Use.Hear(name, r.Word)
+		}
 	}
 }
 
--- a/controller/presence/presence_test.go
+++ b/controller/presence/presence_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/controller/presence"
+	"github.com/cumincove/cumincove/controller/use"
 	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/bubble"
 	"github.com/cumincove/cumincove/internal/fake/fakeplatform"
@@ -30,11 +31,90 @@
 type instance struct {
 	views   *view.Store
 	leaving atomic.Bool
+	queues  queues
 	urge    func()
 	// crash ends it without another word, stop as a shutdown does.
 	crash, stop func()
 }
 
+// queues are an instance's, in which requests wait as a test says.
+type queues struct {
+	mu      sync.Mutex
+	waiting []string
+	told    int            // words that told of a use
+	heard   map[string]int // words with a use, by instance
+}
+
+func (q *queues) Say(wanted []string) use.Word {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	w := use.Word{Waiting: q.waiting}
+	for _, service := range wanted {
+		q.told++
+		w.Uses = map[string][]use.TeamUse{service: {{Team: "team", Tokens: 9}}}
+	}
+	return w
+}
+
+func (q *queues) Hear(instance string, w use.Word) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.heard == nil {
+		q.heard = map[string]int{}
+	}
+	if len(w.Uses) > 0 {
+		q.heard[instance]++
+	}
+}
+
+func (q *queues) wait(services ...string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = services
+}
+
+// counts returns how often a use was told, and heard, since the last call.
+func (q *queues) counts() (told, heard int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, n := range q.heard {
+		heard += n
+	}
+	told = q.told
+	q.told, q.heard = 0, nil
+	return told, heard
+}
+
+// TestUseIsToldWhileItIsWanted: instances tell what teams use of a service while
+// requests wait for it elsewhere, and only then.
+func TestUseIsToldWhileItIsWanted(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		fake := fakeplatform.New(fakeplatform.Options{})
+		a, b, c := start(t, fake.Tables(), "a", 1), start(t, fake.Tables(), "b", 1), start(t, fake.Tables(), "c", 1)
+		for _, in := range []*instance{a, b, c} {
+			defer in.stop()
+		}
+		time.Sleep(5 * period)
+		if told, heard := b.queues.counts(); told+heard > 0 {
+			t.Errorf("told %d and heard %d though nothing waits", told, heard)
+		}
+		a.queues.wait("tagger")
+		time.Sleep(10 * period)
+		told, _ := b.queues.counts()
+		_, heard := a.queues.counts()
+		if told < 5 || heard < 2*5 { // the first within the time for which a word counts
+			t.Errorf("b told %d times and a heard %d words in 10 periods", told, heard)
+		}
+		a.queues.wait()
+		time.Sleep(3 * period)
+		b.queues.counts()
+		time.Sleep(5 * period)
+		if told, _ := b.queues.counts(); told > 0 {
+			t.Errorf("told %d times after nothing waits any more", told)
+		}
+	})
+}
+
 // cut is a family of tables that an instance may be cut off from.
 type cut struct {
 	infra.Feed
@@ -63,7 +143,7 @@
 		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Self:   view.Member{Name: name, Incarnation: incarnation},
 		Period: period, Lapse: lapse,
-		InFlight: func() int { return 0 }, Leaving: in.leaving.Load,
+		InFlight: func() int { return 0 }, Leaving: in.leaving.Load, Use: &in.queues,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"github.com/cumincove/cumincove/controller/use"
 	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/view"
 )
@@ -33,6 +34,8 @@
 	InFlight   int    `json:"in_flight"`
 	// Streams counts its requests and streams by endpoint.
 	Streams map[string]int `json:"streams,omitempty"`
+	// Word tells of its queues.
+	use.Word
 }
 
 // Homes names the two parts that an instance's rows may lie in. The second one
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -19,6 +19,7 @@
 	"github.com/cumincove/cumincove/controller/steps"
 	"github.com/cumincove/cumincove/controller/suspects"
 	"github.com/cumincove/cumincove/controller/usage"
+	"github.com/cumincove/cumincove/controller/use"
 	"github.com/cumincove/cumincove/dispatch"
 	"github.com/cumincove/cumincove/fairqueue"
 	"github.com/cumincove/cumincove/filter"
@@ -113,6 +114,7 @@
 		Poll: time.Duration(s.Timing.StorePoll), Freshness: time.Duration(s.Timing.Freshness),
 		Regained: func() { m.presence.Urge() },
 	})
+	m.newRequestParts()
 	m.presence = presence.New(presence.Options{
 		Rows: deps.Platform.Members, Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: view.Member{
@@ -121,7 +123,8 @@
 		},
 		Period: time.Duration(s.Timing.MemberPeriod), Lapse: time.Duration(s.Timing.MemberLapse),
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
-		Follow: func(changes infra.Changes) { m.losses.Follow(changes) },
+		Use:    &use.Controller{Queues: m.dispatcher},
+		Follow: m.losses.Follow,
 	})
 	m.keeper = leases.NewKeeper(leases.Options{
 		Tables: deps.Platform.Own, Clock: deps.Clock, Holder: s.Name, Incarnation: m.incarnation,
@@ -144,7 +147,6 @@
 		Window: time.Duration(s.Timing.UsageWindow), Flush: time.Duration(s.Timing.UsageFlush),
 		Grace: time.Duration(s.Timing.UsageGrace), Steady: m.intent.Steady,
 	})
-	m.newRequestParts()
 	m.steps = steps.New(steps.Options{
 		Steps: deps.Platform.Steps, Shared: deps.Platform.Own.Part(sharedPart), Engines: deps.Platform.Engines, Score: m.score(),
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
