--- a/controller/intent/controller.go
+++ b/controller/intent/controller.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +14,7 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/internal/telemetry"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -224,36 +228,40 @@
 }
 
 // changed reports whether the endpoints differ from those in the snapshot, and
-// logs how.
+// leaves one line on how: every instance sees every change.
 func (c *Controller) changed(list []infra.Replica) bool {
 	known := map[string]infra.Replica{}
 	for _, r := range c.o.Views.Load().Replicas() {
 		known[r.Name] = r
 	}
-	changed := len(list) != len(known)
+	var seen, gone telemetry.Names
 	for _, r := range list {
-		if old, ok := known[r.Name]; ok && same(old, r) {
-			continue
+		if old, ok := known[r.Name]; !ok || !same(old, r) {
+			seen = append(seen, described(r))
 		}
-		changed = true
-		c.o.Log.Info("endpoint seen", "endpoint", r.Name, "service", r.Service, "data_centre", r.DataCentre,
-			"incarnation", r.Incarnation, "state", r.State, "weights", r.Weights)
-	}
-	if !changed {
-		return false
-	}
-	listed := make(map[string]bool, len(list))
-	for _, r := range list {
-		listed[r.Name] = true
+		delete(known, r.Name)
 	}
 	for name := range known {
-		if !listed[name] {
-			c.o.Log.Info("endpoint gone", "endpoint", name)
-		}
+		gone = append(gone, name)
+	}
+	if len(seen)+len(gone) == 0 {
+		return false
 	}
+	slices.Sort(gone)
+	c.o.Log.Info("endpoints changed", "endpoints", len(list), "seen", seen, "gone", gone)
 	return true
 }
 
+// described is an endpoint as a line of the log names it: its name, incarnation,
+// state and weights.
+func described(r infra.Replica) string {
+	text := fmt.Sprintf("%s/%d/%s", r.Name, r.Incarnation, r.State)
+	for _, model := range slices.Sorted(maps.Keys(r.Weights)) {
+		text += fmt.Sprintf("/%s=%d", model, r.Weights[model])
+	}
+	return text
+}
+
 // same reports whether an endpoint's entry is as it was, as far as the snapshot
 // holds it.
 func same(a, b infra.Replica) bool {
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -14,6 +14,7 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/controller/use"
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/internal/telemetry"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -140,8 +141,9 @@
 		CallerAddr:  c.o.Self.CallerAddr,
 		Leaving:     c.o.Leaving(),
 		InFlight:    c.o.InFlight(),
-		Streams:     c.streams(),
-		Word:        c.o.Use.Say(c.wanted()),
+
+		Streams: c.streams(),
+		Word:    c.o.Use.Say(c.wanted()),
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -260,16 +262,28 @@
 	return list
 }
 
+// logChanges leaves one line for all that a read brought: every instance sees every
+// change of every other.
 func (c *Controller) logChanges(before, after map[string]view.Member) {
+	var seen, gone telemetry.Names
 	for name, m := range after {
 		old, ok := before[name]
-		if !ok || old.Incarnation != m.Incarnation || old.Leaving != m.Leaving {
-			c.o.Log.Info("member seen", "member", name, "incarnation", m.Incarnation, "leaving", m.Leaving)
+		switch {
+		case !ok || old.Incarnation != m.Incarnation:
+			seen = append(seen, fmt.Sprintf("%s/%d", name, m.Incarnation))
+		case !old.Leaving && m.Leaving:
+			seen = append(seen, name+"/leaving")
 		}
 	}
-	for name := range maps.Keys(before) {
+	for name, m := range before {
 		if _, ok := after[name]; !ok {
-			c.o.Log.Info("member gone", "member", name, "incarnation", before[name].Incarnation)
+			gone = append(gone, fmt.Sprintf("%s/%d", name, m.Incarnation))
 		}
 	}
+	if len(seen)+len(gone) == 0 {
+		return
+	}
+	slices.Sort(seen)
+	slices.Sort(gone)
+	c.o.Log.Info("members changed", "members", len(after), "seen", seen, "gone", gone)
 }
--- a/controller/presence/presence_test.go
+++ b/controller/presence/presence_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"slices"
@@ -32,11 +31,44 @@
 	views   *view.Store
 	leaving atomic.Bool
 	queues  queues
+	lines   lines
 	urge    func()
 	// crash ends it without another word, stop as a shutdown does.
 	crash, stop func()
 }
 
+// lines counts the lines of a log.
+type lines struct{ atomic.Int64 }
+
+func (l *lines) Write(line []byte) (int, error) {
+	l.Add(1)
+	return len(line), nil
+}
+
+// TestManyMembersInFewLines: an instance that sees 40 others come, and leave at
+// once, tells of them in a line for each read that brought any.
+func TestManyMembersInFewLines(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		fake := fakeplatform.New(fakeplatform.Options{})
+		first := start(t, fake.Tables(), "first", 1)
+		defer first.stop()
+		time.Sleep(2 * period)
+		var others []*instance
+		for i := range 40 {
+			others = append(others, start(t, fake.Tables(), fmt.Sprint("other-", i), 1))
+		}
+		time.Sleep(3 * period)
+		for _, in := range others {
+			in.crash()
+		}
+		time.Sleep(2 * lapse)
+		want(t, first, "first")
+		if n := first.lines.Load(); n < 3 || n > 6 {
+			t.Errorf("%d lines of 40 instances that came and left at once", n)
+		}
+	})
+}
+
 // queues are an instance's, in which requests wait as a test says.
 type queues struct {
 	mu      sync.Mutex
@@ -140,7 +172,7 @@
 	table := &cut{Feed: rows}
 	c := presence.New(presence.Options{
 		Rows: table, Views: in.views, Clock: clock.NewMonotonic(), Scope: tally.NoopScope,
-		Log:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Log:    slog.New(slog.NewTextHandler(&in.lines, nil)),
 		Self:   view.Member{Name: name, Incarnation: incarnation},
 		Period: period, Lapse: lapse,
 		InFlight: func() int { return 0 }, Leaving: in.leaving.Load, Use: &in.queues,
