Steps whose owners know the same begin at different endpoints

Cause: a step takes the least loaded endpoint, the first of equal ones. Owners tell each other their loads once a second; within it all that see idle endpoints begin at the same ones, which refuse what is over their room.

Before: TestStepsOfOneViewSpread, 40 steps of three samples, 40 idle endpoints with room for six: 102 of 120 samples at endpoints without room.

--- a/durable/losses_test.go
+++ b/durable/losses_test.go
@@ -59,3 +59,28 @@
 		t.Errorf("failures %v, want %d of x and %d of y", failures, spec.MaxFailures, spec.MaxScoreFailures)
 	}
 }
+
+// TestStepsOfOneViewSpread: forty steps whose owners see the same idle endpoints
+// begin three samples each. None of the forty endpoints, with room for six, is
+// given more than that.
+func TestStepsOfOneViewSpread(t *testing.T) {
+	const room = 6
+	given := map[string]int{}
+	for i := range 40 {
+		spec := Spec{ID: fmt.Sprintf("%016x", i*0x9e3779b9), Samples: []Sample{{ID: "x"}, {ID: "y"}, {ID: "z"}}}
+		var endpoints []Endpoint
+		for k := range 40 {
+			endpoints = append(endpoints, Endpoint{Name: fmt.Sprint("e", k), Free: room})
+		}
+		for _, a := range New(spec, nil, nil).Tick(0, endpoints) {
+			given[a.(Start).Endpoint]++
+		}
+	}
+	over := 0
+	for _, n := range given {
+		over += max(n-room, 0)
+	}
+	if over > 0 {
+		t.Errorf("%d of 120 samples went to endpoints without room: %v", over, given)
+	}
+}
--- a/durable/place.go
+++ b/durable/place.go
@@ -54,12 +54,14 @@
 }
 
 // pick returns the endpoint with the least load of those with room and a
-// version that the sample takes. One that just failed the sample comes last.
+// version that the sample takes. One that just failed the sample comes last. Of
+// equal ones each step begins with another, so that steps whose owners know the
+// same of the endpoints don't meet at one.
 func (s *Step) pick(now time.Duration, p *sample, endpoints []Endpoint) *Endpoint {
 	var best *Endpoint
 	bestAvoided := false
 	for i := range endpoints {
-		e := &endpoints[i]
+		e := &endpoints[(s.first+i)%len(endpoints)]
 		if e.Free <= 0 || !s.takes(p, e.Version) || s.rests[e.Name].closed(now) {
 			continue
 		}
--- a/durable/step.go
+++ b/durable/step.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ErrOldRun says that an event belongs to a stream that is of no more use.
@@ -64,6 +66,8 @@
 	// order lists the samples that have no stream, most urgent first.
 	order   []*sample
 	nextRun RunID
+	// first is where the search for an endpoint begins, modulo their number.
+	first int
 	// position is the number of results that are stored, and storing those of
 	// the batch under way.
 	position int
@@ -90,6 +94,7 @@
 // position, and what was saved of other samples.
 func New(spec Spec, results []Result, saved []Saved) *Step {
 	s := &Step{spec: spec, byID: map[string]*sample{}, byRun: map[RunID]*sample{}, rests: map[string]rest{}}
+	s.first = int(xxhash.Sum64String(spec.ID) >> 33) // fits an int of any size
 	for _, sm := range spec.Samples {
 		p := &sample{Sample: sm}
 		s.samples = append(s.samples, p)
