Callers, steps and duties go to the larger instances

On the grown and large deployments three of four instances have a quarter of the processor of the others, and got the same work: entries, duties by lease, and steps without an owner went to all alike, and all of them looked for such steps three times a second.

Package fit chooses, in each data centre, those of at least half the size of the largest, and smaller ones while there are fewer than three or the chosen have over 100 requests in flight a processor. Each instance says its size in its member row (limits.processor_share, which the platform fills in).

Weighed: sizes by weight in the ranking of entries only (small ones would still be runners and holders); all of one size class in the fleet (a data centre of small ones would have nobody).

--- a/controller/leases/keeper.go
+++ b/controller/leases/keeper.go
@@ -132,7 +132,7 @@
 	now := k.o.Clock.Now()
 	p := k.preferred[r.duty]
 	switch {
-	case self < 0: // leaving: hand over, but acquire nothing
+	case self < 0: // leaving, or too small: hand over, but acquire nothing
 		role.Candidate = r.Holds()
 		role.Preferred = role.Successor
 	case p.name != ranked[0]:
@@ -153,18 +153,16 @@
 	return ""
 }
 
-// present lists the instances that may hold leases, in order: all that are not
-// leaving. This one counts even if the others are not known to see it.
+// present lists the instances that may hold leases, in order: those of a fitting
+// size that are not leaving. This one counts even if it is not known yet.
 func (k *Keeper) present() []string {
-	known := k.views.Load().Members
+	v := k.views.Load()
 	var names []string
-	if !known[k.o.Holder].Leaving {
+	if _, known := v.Members[k.o.Holder]; !known {
 		names = append(names, k.o.Holder)
 	}
-	for _, m := range known {
-		if !m.Leaving && m.Name != k.o.Holder {
-			names = append(names, m.Name)
-		}
+	for _, m := range v.Fitting() {
+		names = append(names, m.Name)
 	}
 	slices.Sort(names)
 	return names
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -141,9 +141,9 @@
 		CallerAddr:  c.o.Self.CallerAddr,
 		Leaving:     c.o.Leaving(),
 		InFlight:    c.o.InFlight(),
-
-		Streams: c.streams(),
-		Word:    c.o.Use.Say(c.wanted()),
+		Size:        c.o.Self.Size,
+		Streams:     c.streams(),
+		Word:        c.o.Use.Say(c.wanted()),
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -32,6 +32,8 @@
 	CallerAddr string `json:"caller_addr"`
 	Leaving    bool   `json:"leaving,omitempty"`
 	InFlight   int    `json:"in_flight"`
+	// Size is the part of a processor that it has.
+	Size float64 `json:"size,omitempty"`
 	// Streams counts its requests and streams by endpoint.
 	Streams map[string]int `json:"streams,omitempty"`
 	// Word tells of its queues.
@@ -109,6 +111,6 @@
 	return view.Member{
 		Name: name, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
 		PeerAddr: r.PeerAddr, CallerAddr: r.CallerAddr,
-		Leaving: r.Leaving, InFlight: r.InFlight,
+		Leaving: r.Leaving, Size: r.Size, InFlight: r.InFlight,
 	}
 }
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -19,7 +19,7 @@
 // scan looks for steps whose owner is gone, and takes over those that fall to
 // this instance.
 func (c *Controller) scan(ctx context.Context) {
-	if !c.o.Synced() || c.isLeaving() {
+	if !c.o.Synced() || c.isLeaving() || !c.fits() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -136,14 +136,17 @@
 	return c.o.Views.Load().Members[o.Instance].Leaving
 }
 
+// fits reports whether this instance is one of those that steps fall to.
+func (c *Controller) fits() bool {
+	return slices.ContainsFunc(c.o.Views.Load().Fitting(), func(m view.Member) bool { return m.Name == c.o.Self })
+}
+
 // successor names the instance that a step without an owner falls to: all that
 // see the same members name the same one.
 func (c *Controller) successor(id string) string {
 	var names []string
-	for _, m := range c.o.Views.Load().Members {
-		if !m.Leaving {
-			names = append(names, m.Name)
-		}
+	for _, m := range c.o.Views.Load().Fitting() {
+		names = append(names, m.Name)
 	}
 	return firstBy(id, names)
 }
--- a/internal/daemon/entries.go
+++ b/internal/daemon/entries.go
@@ -53,11 +53,11 @@
 	return rankEntries(d.views.Load(), d.d.Settings.Name, d.leaving.Load(), dataCentre, d.entryCount.Add(1))
 }
 
-// rankEntries ranks the members for the nth caller that asks an instance, which
+// rankEntries ranks the fitting members for the nth caller that asks an instance, which
 // may be leaving itself.
 func rankEntries(v *view.View, self string, leaving bool, dataCentre string, n uint64) []entries.Instance {
 	var list []entries.Instance
-	for _, m := range sortedMembers(v) {
+	for _, m := range v.Fitting() {
 		list = append(list, entries.Instance{
 			Name: m.Name, DataCentre: m.DataCentre, Addr: m.CallerAddr,
 			InFlight: m.InFlight, Leaving: m.Leaving || m.Name == self && leaving,
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -119,7 +119,7 @@
 		Rows: deps.Platform.Members, Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: view.Member{
 			Name: s.Name, Incarnation: m.incarnation, DataCentre: s.DataCentre,
-			PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers,
+			PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, Size: s.Limits.ProcessorShare,
 		},
 		Period: time.Duration(s.Timing.MemberPeriod), Lapse: time.Duration(s.Timing.MemberLapse),
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
--- a/settings/check.go
+++ b/settings/check.go
@@ -50,6 +50,8 @@
 		ok = empty || formats[tag.Get("format")].valid(v.String())
 	case v.CanInt():
 		ok = inBounds(v.Int(), tag)
+	case v.CanFloat():
+		ok = tag.Get("min") == "" || v.Float() >= parseNumber(tag.Get("min")) && v.Float() <= parseNumber(tag.Get("max"))
 	}
 	if ok {
 		return ""
@@ -57,6 +59,14 @@
 	return "want " + expected(v.Type(), tag)
 }
 
+func parseNumber(text string) float64 {
+	bound, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		panic("settings: bound in a tag: " + err.Error())
+	}
+	return bound
+}
+
 func inBounds(value int64, tag reflect.StructTag) bool {
 	if tag.Get("min") == "" {
 		return true
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -158,6 +158,8 @@
 		text = "true or false"
 	case t.Kind() == reflect.Slice:
 		text = "a list"
+	case t.Kind() == reflect.Float64:
+		text = "a number"
 	default:
 		text = "a whole number"
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -115,6 +115,10 @@
 	// one more takes memory, and processor time while little happens. More than
 	// the machine has count as all of them.
 	Processors int `json:"processors" unit:"processors" min:"1" max:"1024"`
+	// ProcessorShare is the part of a processor that the machine gives the
+	// program. Callers, steps and duties go to the instances that have most; zero
+	// counts as a whole one.
+	ProcessorShare float64 `json:"processor_share,omitempty" unit:"processors" min:"0" max:"1024"`
 	// MemoryMB is the memory that the process may use, in MB. The program
 	// collects garbage harder as it comes near it. Zero means that no bound is
 	// known.
--- /dev/null
+++ b/view/fitting.go
@@ -0,0 +1,19 @@
+package view
+
+import "github.com/cumincove/cumincove/fit"
+
+// Fitting returns, by name, the instances that are given work which any of them
+// could do. Those that leave are not among them.
+func (v *View) Fitting() []Member {
+	var list []fit.Instance
+	for _, m := range v.Members {
+		if !m.Leaving {
+			list = append(list, fit.Instance{Name: m.Name, DataCentre: m.DataCentre, Size: m.Size, InFlight: m.InFlight})
+		}
+	}
+	var members []Member
+	for _, in := range fit.Choose(list) {
+		members = append(members, v.Members[in.Name])
+	}
+	return members
+}
--- a/view/view.go
+++ b/view/view.go
@@ -46,6 +46,8 @@
 	CallerAddr  string
 	// Leaving instances take no new callers.
 	Leaving bool
+	// Size is the part of a processor that the instance has; zero is unknown.
+	Size float64
 	// InFlight is the instance's own last word on its requests in flight.
 	InFlight int
 	// ConfigVersion is the configuration version it last said it has.
