Steps of a model run at one instance; owners without the store give theirs away

Trainers submit to any instance, small ones too; whoever accepted a step ran it and connected anew to all engines of its model.

Who runs a step is now a decision of its own (steps.Hand). ByModel names, by hash among the fitting instances, one for each model (more where a step has over 1,024 samples). The one that accepts writes that instance as the owner, answers the trainer, and tells it (connect-go). Without its word in 400 ms the accepting instance takes the step over; if the accepting one dies, the runner finds the step by its rows.

Weighed: the accepting instance runs it (before); one chosen by the trainer's team (teams share models); asking first and writing then (a round trip before the answer). Ruled out as cause of late steps: loads of weights.

TestStepsOfAModelShareConnections failed before with a connection for each of four instances. TestStepLeavesOwnerWithoutStore, TestSilentOwnerIsAsked, TestStepWhoseSubmitterDies, TestStepOfARunnerThatDoesNotAnswer play the ways to lose it.

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -140,6 +140,10 @@
 // runManaged runs an instance on a managed platform.
 func runManaged(ctx context.Context, in instance) error {
 	s := in.settings
+	certificates, err := daemon.LoadTLS(s.TLS, in.log)
+	if err != nil {
+		return err
+	}
 	dial := (&net.Dialer{}).DialContext
 	opt := attempt.DefaultOptions()
 	opt.Dialect = platform.Dialect()
@@ -163,5 +167,6 @@
 		Metrics: in.metrics,
 		Network: daemon.Network{Listen: net.Listen, Dial: dial},
 		Pool:    pool,
+		TLS:     certificates,
 	}).Run(ctx)
 }
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -229,7 +229,9 @@
 		if now-s.since > c.o.Lapse {
 			continue
 		}
-		members[name] = s.row.member(name)
+		m := s.row.member(name)
+		m.HeardAt = s.since
+		members[name] = m
 		if name == c.o.Self.Name {
 			continue
 		}
@@ -238,13 +240,14 @@
 		}
 	}
 	self := c.o.Self
+	self.HeardAt = now
 	self.Leaving = c.o.Leaving()
 	self.InFlight = c.o.InFlight()
 	members[self.Name] = self
 	before := c.o.Views.Load()
 	c.logChanges(before.Members, members)
 	c.o.Views.Update(func(v *view.View) {
-		v.Members = members
+		v.Members, v.MembersAt = members, now
 		v.SetLoad(reports(v, others, now))
 	})
 }
--- a/controller/presence/presence_test.go
+++ b/controller/presence/presence_test.go
@@ -122,10 +122,13 @@
 func TestUseIsToldWhileItIsWanted(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		fake := fakeplatform.New(fakeplatform.Options{})
-		a, b, c := start(t, fake.Tables(), "a", 1), start(t, fake.Tables(), "b", 1), start(t, fake.Tables(), "c", 1)
-		for _, in := range []*instance{a, b, c} {
-			defer in.stop()
+		var all []*instance
+		for _, name := range []string{"a", "b", "c"} {
+			all = append(all, start(t, fake.Tables(), name, 1))
+			defer all[len(all)-1].stop()
+			time.Sleep(period / 10) // their periods begin apart
 		}
+		a, b := all[0], all[1]
 		time.Sleep(5 * period)
 		if told, heard := b.queues.counts(); told+heard > 0 {
 			t.Errorf("told %d and heard %d though nothing waits", told, heard)
--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -11,6 +11,7 @@
 	"github.com/cumincove/cumincove/durable"
 	"github.com/cumincove/cumincove/effect"
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/view"
 )
 
 // Accept stores a step and begins to run it. Nil means that the step is stored,
@@ -25,7 +26,7 @@
 	}
 	defer c.stopAccepting(spec.ID)
 	spec.MaxScoreFailures = c.scoreFailures(spec)
-	a := acceptance{c: c, spec: spec, t: c.table(spec.ID), tag: rand.Text()[:8]}
+	a := acceptance{c: c, spec: spec, t: c.table(spec.ID), tag: rand.Text()[:8], runner: c.runnerOf(spec)}
 	err := a.run(ctx)
 	if err != nil {
 		c.o.Log.Warn("step not accepted", "step", spec.ID, "team", spec.Team, "samples", len(spec.Samples), "error", err)
@@ -76,6 +77,8 @@
 	spec durable.Spec
 	t    infra.Table
 	tag  string
+	// runner is the instance that is to run the step.
+	runner view.Member
 	// headVersion is that of the row in the head's place.
 	headVersion uint64
 	// unknown says that a write may still take effect.
@@ -111,7 +114,7 @@
 	h := head{Spec: a.spec, Tag: a.tag, Total: len(a.spec.Samples)}
 	ops = append(ops,
 		infra.PutJSON(headKey, a.headVersion, h),
-		infra.PutJSON(ownerKey, 0, a.c.self()),
+		infra.PutJSON(ownerKey, 0, a.owner()),
 	)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -168,7 +171,7 @@
 	if s.head.Team != a.spec.Team {
 		return code.New(code.StepExists, "")
 	}
-	if s.head.Tag == a.tag && s.owner == a.c.self() && !s.ended {
+	if s.head.Tag == a.tag && s.owner == a.owner() && !s.ended {
 		a.begin(s.ownerVersion)
 	}
 	return nil
@@ -177,10 +180,16 @@
 func (a *acceptance) begin(ownerVersion uint64) {
 	a.c.o.Log.Info("step accepted", "step", a.spec.ID, "team", a.spec.Team, "route", a.spec.Route,
 		"number", a.spec.Number, "model", a.spec.Model, "min_version", a.spec.MinVersion,
-		"samples", len(a.spec.Samples), "resolved", a.unknown)
+		"samples", len(a.spec.Samples), "runner", a.runner.Name, "resolved", a.unknown)
+	if a.runner.Name != a.c.o.Self {
+		a.c.running.Go(func() { a.c.hand(a.runner, a.spec.ID) })
+		return
+	}
 	a.c.begin(newRunner(a.c, durable.New(a.spec, nil, nil), a.t, ownerVersion, nil))
 }
 
+func (a *acceptance) owner() Owner { return Owner{a.runner.Name, a.runner.Incarnation} }
+
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -35,16 +35,20 @@
 	Shared  infra.Table
 	Engines infra.Engines
 	Score   ScoreFunc
-	Views   *view.Store
-	Clock   clock.Clock
-	Log     *slog.Logger
-	Scope   tally.Scope
+	// Hand decides which instance runs a step that another one accepts.
+	Hand  Hand
+	Views *view.Store
+	Clock clock.Clock
+	Log   *slog.Logger
+	Scope tally.Scope
 	// Self is this instance's name, and Incarnation tells this process from
 	// earlier ones of its name.
 	Self        string
 	Incarnation uint64
-	// Synced reports whether the other instances are known.
+	// Synced reports whether the other instances are known, and Away whether the
+	// store has not answered this instance for a while.
 	Synced func() bool
+	Away   func() bool
 }
 
 // Controller accepts, runs and reads steps. It is safe for concurrent use.
@@ -56,8 +60,8 @@
 	// closed holds the steps that need no owner any more, and known the last
 	// word on those that may.
 	closed map[string]time.Duration
-	known  map[string]owner
-	// accepting holds the steps that are being accepted here.
+	known  map[string]owned
+	// accepting holds the steps that are being accepted, or claimed, here.
 	accepting map[string]bool
 	views     map[string]*stepView
 	// leaving is set when this instance gives its steps away.
@@ -67,6 +71,13 @@
 	ctx     context.Context
 }
 
+// owned is a step and who owns it.
+type owned struct {
+	owner Owner
+	// spec has no samples.
+	spec durable.Spec
+}
+
 // New returns a Controller.
 func New(o Options) *Controller {
 	ctx, stop := context.WithCancel(context.Background())
@@ -74,7 +85,7 @@
 		o:         o,
 		runners:   map[string]*runner{},
 		closed:    map[string]time.Duration{},
-		known:     map[string]owner{},
+		known:     map[string]owned{},
 		accepting: map[string]bool{},
 		views:     map[string]*stepView{},
 		ctx:       ctx,
@@ -89,6 +100,10 @@
 	for {
 		select {
 		case <-tick.C:
+			if c.o.Away() {
+				c.giveAway(ctx)
+				continue
+			}
 			c.scan(ctx)
 			c.forgetViews()
 		case <-ctx.Done():
@@ -125,7 +140,7 @@
 // table returns the part of a step.
 func (c *Controller) table(id string) infra.Table { return c.o.Steps.Part(id) }
 
-func (c *Controller) self() owner { return owner{c.o.Self, c.o.Incarnation} }
+func (c *Controller) self() Owner { return Owner{c.o.Self, c.o.Incarnation} }
 
 // begin runs a step that this instance owns.
 func (c *Controller) begin(r *runner) {
--- /dev/null
+++ b/controller/steps/hand.go
@@ -0,0 +1,274 @@
+package steps
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/internal/pb/stepsv1"
+	"github.com/cumincove/cumincove/internal/pb/stepsv1/stepsv1connect"
+	"github.com/cumincove/cumincove/view"
+)
+
+const (
+	// adoptTimeout bounds the wait for another instance to say that it runs a
+	// step. Without its word the one that accepted the step runs it.
+	adoptTimeout = 400 * time.Millisecond
+	// takeOverTimeout bounds the wait for another instance to take a step over, and
+	// mostAsked is how many are asked at a time.
+	takeOverTimeout = 700 * time.Millisecond
+	mostAsked       = 3
+	// samplesEach is how many samples of a step one instance runs; the steps of a
+	// model with more go to several instances by turns.
+	samplesEach = 1024
+)
+
+// errNotAdopted says that an instance does not run a step that was handed to it.
+var errNotAdopted = errors.New("steps: the instance does not adopt steps")
+
+// Hand decides which instance runs a step that another one accepted, and hands it
+// over.
+type Hand interface {
+	// Runner names the instance that is to run a step, one of members; empty is
+	// the one that accepted it.
+	Runner(spec durable.Spec, members []view.Member) string
+	// Adopt tells it to. Nil means that it does.
+	Adopt(ctx context.Context, m view.Member, step string) error
+	// Alive returns nil if an instance answers.
+	Alive(ctx context.Context, m view.Member) error
+	// TakeOver asks an instance to take a step over from this one, with what has
+	// come of its samples. Nil means that it has.
+	TakeOver(ctx context.Context, m view.Member, step string, from Owner, saved []durable.Saved) error
+}
+
+// Kept is the Hand of instances that run what they accept.
+type Kept struct{}
+
+// Runner implements Hand.
+func (Kept) Runner(durable.Spec, []view.Member) string { return "" }
+
+// Adopt implements Hand.
+func (Kept) Adopt(context.Context, view.Member, string) error { return errNotAdopted }
+
+// Alive implements Hand.
+func (Kept) Alive(context.Context, view.Member) error { return nil }
+
+// TakeOver implements Hand.
+func (Kept) TakeOver(context.Context, view.Member, string, Owner, []durable.Saved) error {
+	return errNotAdopted
+}
+
+// ByModel is the Hand that has the steps of a model run by the same instance, so
+// that its connections to the endpoints are in use again and again. Another
+// instance takes its place when it goes.
+type ByModel struct {
+	// Peers speaks to other instances.
+	Peers *http.Client
+}
+
+// Runner implements Hand.
+func (ByModel) Runner(spec durable.Spec, members []view.Member) string {
+	var names []string
+	for _, m := range members {
+		if m.PeerAddr != "" {
+			names = append(names, m.Name)
+		}
+	}
+	turns := 1 + len(spec.Samples)/samplesEach
+	return firstBy(fmt.Sprintf("%s/%s/%d", spec.Service, spec.Model, spec.Number%turns), names)
+}
+
+// Adopt implements Hand.
+func (h ByModel) Adopt(ctx context.Context, m view.Member, step string) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
+	_, err := peer.Adopt(ctx, connect.NewRequest(&stepsv1.AdoptRequest{Step: step, Incarnation: m.Incarnation}))
+	return err
+}
+
+// Alive implements Hand.
+func (h ByModel) Alive(ctx context.Context, m view.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
+	defer cancel()
+	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
+	_, err := peer.Alive(ctx, connect.NewRequest(&stepsv1.AliveRequest{Incarnation: m.Incarnation}))
+	return err
+}
+
+// TakeOver implements Hand.
+func (h ByModel) TakeOver(ctx context.Context, m view.Member, step string, from Owner, saved []durable.Saved) error {
+	ctx, cancel := context.WithTimeout(ctx, takeOverTimeout)
+	defer cancel()
+	data, err := json.Marshal(saved)
+	if err != nil {
+		return fmt.Errorf("encode samples: %w", err)
+	}
+	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
+	_, err = peer.TakeOver(ctx, connect.NewRequest(&stepsv1.TakeOverRequest{
+		Step: step, Owner: from.Instance, Incarnation: from.Incarnation, Saved: data,
+	}))
+	return err
+}
+
+// Peer returns the path and the handler that serve other instances.
+func (c *Controller) Peer() (string, http.Handler) {
+	return stepsv1connect.NewStepServiceHandler(peer{c})
+}
+
+type peer struct{ c *Controller }
+
+// Adopt runs a step, in the background.
+func (p peer) Adopt(_ context.Context, r *connect.Request[stepsv1.AdoptRequest]) (*connect.Response[stepsv1.AdoptResponse], error) {
+	if err := p.c.Adopt(r.Msg.GetStep(), r.Msg.GetIncarnation()); err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&stepsv1.AdoptResponse{}), nil
+}
+
+// Alive answers for this incarnation.
+func (p peer) Alive(_ context.Context, r *connect.Request[stepsv1.AliveRequest]) (*connect.Response[stepsv1.AliveResponse], error) {
+	if r.Msg.GetIncarnation() != p.c.o.Incarnation {
+		return nil, connect.NewError(connect.CodeNotFound, errNotAdopted)
+	}
+	return connect.NewResponse(&stepsv1.AliveResponse{}), nil
+}
+
+// TakeOver takes a step over from an owner that asks for it.
+func (p peer) TakeOver(ctx context.Context, r *connect.Request[stepsv1.TakeOverRequest]) (*connect.Response[stepsv1.TakeOverResponse], error) {
+	var saved []durable.Saved
+	if err := json.Unmarshal(r.Msg.GetSaved(), &saved); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	from := Owner{Instance: r.Msg.GetOwner(), Incarnation: r.Msg.GetIncarnation()}
+	if err := p.c.TakeOver(ctx, r.Msg.GetStep(), from, saved); err != nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	return connect.NewResponse(&stepsv1.TakeOverResponse{}), nil
+}
+
+// Adopt runs a step whose rows name an incarnation of this instance as the owner,
+// in the background. What fails then is left to the next look for steps.
+func (c *Controller) Adopt(id string, incarnation uint64) error {
+	if incarnation != c.o.Incarnation || !c.takesSteps() {
+		return errNotAdopted
+	}
+	c.running.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+		defer cancel()
+		c.claim(ctx, id, Owner{})
+	})
+	return nil
+}
+
+// takesSteps reports whether this instance may be given steps of others.
+func (c *Controller) takesSteps() bool {
+	return !c.isLeaving() && c.ctx.Err() == nil && !c.o.Away()
+}
+
+// TakeOver takes a step over from an owner that can't reach the store, and goes on
+// from its word on the samples.
+func (c *Controller) TakeOver(ctx context.Context, id string, from Owner, saved []durable.Saved) error {
+	if !c.takesSteps() || !c.startAccepting(id) {
+		return errNotAdopted
+	}
+	defer c.stopAccepting(id)
+	t := c.table(id)
+	s, err := readState(ctx, t)
+	switch {
+	case err != nil:
+		return err
+	case s.owner != from && s.owner != c.self(): // it may be the second time
+		return errNotAdopted
+	case s.ended || c.runner(id) != nil:
+		return nil
+	}
+	return c.takeOver(ctx, id, t, s, saved)
+}
+
+// giveAway has other instances take over all steps of this one, which can't reach
+// the store. Where none does, for example as the store is down, they stay.
+func (c *Controller) giveAway(ctx context.Context) {
+	c.mu.Lock()
+	list := slices.Collect(maps.Values(c.runners))
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, r := range list {
+		wg.Go(func() { c.give(ctx, r) })
+	}
+	wg.Wait()
+}
+
+// give asks some instances in turn to take a step over.
+func (c *Controller) give(ctx context.Context, r *runner) {
+	r.mu.Lock()
+	saved := r.step.Unsaved(0)
+	r.mu.Unlock()
+	asked := 0
+	for _, m := range c.takers(r.spec) {
+		if asked++; asked > mostAsked || ctx.Err() != nil {
+			return
+		}
+		began := c.o.Clock.Now()
+		err := c.o.Hand.TakeOver(ctx, m, r.spec.ID, c.self(), saved)
+		r.log.Info("step offered to another instance, as the store does not answer here", "to", m.Name,
+			"saved", len(saved), "took", c.o.Clock.Now()-began, "error", err)
+		if err == nil {
+			c.note(r.spec.ID, state{head: head{Spec: r.spec}, owner: Owner{m.Name, m.Incarnation}})
+			r.end()
+			return
+		}
+	}
+}
+
+// takers lists the other fitting instances in an order of each step's own.
+func (c *Controller) takers(spec durable.Spec) []view.Member {
+	members := slices.DeleteFunc(c.o.Views.Load().Fitting(), func(m view.Member) bool {
+		return m.Name == c.o.Self || m.PeerAddr == ""
+	})
+	slices.SortFunc(members, func(a, b view.Member) int {
+		return cmp.Compare(xxhash.Sum64String(spec.ID+"/"+b.Name), xxhash.Sum64String(spec.ID+"/"+a.Name))
+	})
+	return members
+}
+
+// runnerOf returns the instance that is to run a step which this one accepts.
+func (c *Controller) runnerOf(spec durable.Spec) view.Member {
+	v := c.o.Views.Load()
+	if m, ok := v.Members[c.o.Hand.Runner(spec, v.Fitting())]; ok && m.Name != c.o.Self {
+		return m
+	}
+	return view.Member{Name: c.o.Self, Incarnation: c.o.Incarnation}
+}
+
+// hand gives a step that was accepted here to its runner, or runs it here if that
+// one does not answer.
+func (c *Controller) hand(to view.Member, id string) {
+	began := c.o.Clock.Now()
+	err := c.o.Hand.Adopt(c.ctx, to, id)
+	c.o.Log.Info("step handed to its runner", "step", id, "to", to.Name, "incarnation", to.Incarnation,
+		"took", c.o.Clock.Now()-began, "error", err)
+	if err == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	defer cancel()
+	t := c.table(id)
+	s, err := readState(ctx, t)
+	if err != nil || s.ended || s.owner != (Owner{to.Name, to.Incarnation}) {
+		c.o.Log.Info("step left to others", "step", id, "owner", s.owner.Instance, "ended", s.ended, "error", err)
+		return
+	}
+	_ = c.takeOver(ctx, id, t, s, nil) // it has left its line; scans try again
+}
--- a/controller/steps/reader.go
+++ b/controller/steps/reader.go
@@ -11,7 +11,7 @@
 
 const (
 	// readPoll is the time between two reads for a caller that waits.
-	readPoll = 150 * time.Millisecond
+	readPoll = 60 * time.Millisecond
 	// viewTime is how long what was read of a step is kept after its last use.
 	viewTime = 20 * time.Second
 	// answerBytes bounds the texts in one answer, unless one alone is longer.
--- a/controller/steps/rows.go
+++ b/controller/steps/rows.go
@@ -43,9 +43,9 @@
 	Total int    `json:"total"`
 }
 
-// owner is the row of that name. An empty Instance means that nobody owns the
-// step.
-type owner struct {
+// Owner is the row that names the instance that runs a step. An empty Instance
+// means that nobody does.
+type Owner struct {
 	Instance    string `json:"instance"`
 	Incarnation uint64 `json:"incarnation"`
 }
@@ -54,7 +54,7 @@
 type state struct {
 	head         head
 	headVersion  uint64
-	owner        owner
+	owner        Owner
 	ownerVersion uint64
 	ended        bool
 }
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -101,6 +101,13 @@
 		"after_ms", unixMillis()-r.spec.Submitted)
 }
 
+// end stops the runner, whether or not the step is done.
+func (r *runner) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stop()
+}
+
 func (r *runner) look() {
 	select {
 	case r.wake <- struct{}{}:
@@ -281,7 +288,7 @@
 	var pause backoff
 	for {
 		r.save(ctx, 1)
-		err := r.commit(ctx, []infra.Op{infra.PutJSON(ownerKey, r.ownerVersion, owner{})})
+		err := r.commit(ctx, []infra.Op{infra.PutJSON(ownerKey, r.ownerVersion, Owner{})})
 		r.log.Info("step handed over", "error", err)
 		if err == nil || errors.Is(err, infra.ErrConflict) || pause.wait(ctx) != nil {
 			break
@@ -290,9 +297,7 @@
 			break
 		}
 	}
-	r.mu.Lock()
-	r.stop()
-	r.mu.Unlock()
+	r.end()
 	select {
 	case <-r.done:
 	case <-ctx.Done():
--- a/controller/steps/runner_store.go
+++ b/controller/steps/runner_store.go
@@ -136,9 +136,7 @@
 // lose stops the runner of a step that another instance owns.
 func (r *runner) lose(s state) {
 	r.log.Warn("step lost", "owner", s.owner.Instance, "incarnation", s.owner.Incarnation)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.stop()
+	r.end()
 }
 
 func (r *runner) stored(b *durable.Batch, began time.Duration) {
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -24,6 +24,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	silent := silence{c: c, asked: map[Owner]bool{}}
 	for after := ""; ; {
 		ids, err := c.o.Steps.Parts(ctx, after, partsPage)
 		if err != nil {
@@ -31,7 +32,7 @@
 			return
 		}
 		for _, id := range ids {
-			c.look(ctx, id)
+			c.look(ctx, id, &silent)
 			after = id
 		}
 		if len(ids) < partsPage {
@@ -42,15 +43,28 @@
 }
 
 // look reads a step whose owner is not known or gone.
-func (c *Controller) look(ctx context.Context, id string) {
+func (c *Controller) look(ctx context.Context, id string, silent *silence) {
 	c.mu.Lock()
 	_, closed := c.closed[id]
-	own, seen := c.known[id]
-	busy := c.runners[id] != nil || c.accepting[id]
+	k, seen := c.known[id]
 	c.mu.Unlock()
-	if closed || busy || seen && c.alive(own) && !c.leaves(own) {
+	switch {
+	case closed:
+	case !seen || !c.alive(k.owner) || c.leaves(k.owner):
+		c.claim(ctx, id, Owner{})
+	case c.heirBut(id, k.spec, k.owner.Instance) == c.o.Self && silent.is(ctx, k.owner):
+		c.claim(ctx, id, k.owner)
+	}
+}
+
+// claim reads a step and takes it over if its owner is gone, or is the one that is
+// known to be lost, and it falls to this instance, or if this instance is the owner
+// and does not run it yet.
+func (c *Controller) claim(ctx context.Context, id string, lost Owner) {
+	if c.runner(id) != nil || !c.startAccepting(id) {
 		return
 	}
+	defer c.stopAccepting(id)
 	t := c.table(id)
 	s, err := readState(ctx, t)
 	if err != nil {
@@ -58,10 +72,16 @@
 		return
 	}
 	c.note(id, s)
-	if !s.accepted() || s.ended || c.alive(s.owner) || c.successor(id) != c.o.Self {
+	if !s.accepted() || s.ended || c.alive(s.owner) && s.owner != lost {
+		return
+	}
+	if s.owner == c.self() && s.ownerVersion == 1 {
+		c.adopt(ctx, id, t, s)
 		return
 	}
-	c.takeOver(ctx, id, t, s)
+	if s.owner == c.self() || c.heirBut(id, s.head.Spec, lost.Instance) == c.o.Self {
+		_ = c.takeOver(ctx, id, t, s, nil) // it has left its line; the next look tries again
+	}
 }
 
 // sweep deletes the rows of a step that was closed long ago, some at a time. The
@@ -118,12 +138,13 @@
 		delete(c.known, id)
 		return
 	}
-	c.known[id] = s.owner
+	s.head.Spec.Samples = nil
+	c.known[id] = owned{s.owner, s.head.Spec}
 }
 
 // alive reports whether an owner is there. This instance's own earlier
 // processes are not, nor is what this process does not run any more.
-func (c *Controller) alive(o owner) bool {
+func (c *Controller) alive(o Owner) bool {
 	if o.Instance == c.o.Self {
 		return false
 	}
@@ -132,7 +153,7 @@
 }
 
 // leaves reports whether an owner is about to give its steps away.
-func (c *Controller) leaves(o owner) bool {
+func (c *Controller) leaves(o Owner) bool {
 	return c.o.Views.Load().Members[o.Instance].Leaving
 }
 
@@ -141,11 +162,22 @@
 	return slices.ContainsFunc(c.o.Views.Load().Fitting(), func(m view.Member) bool { return m.Name == c.o.Self })
 }
 
-// successor names the instance that a step without an owner falls to: all that
-// see the same members name the same one.
+// heirBut names the instance that a step without an owner falls to, if one of them
+// is lost: all that see the same members name the same one.
+func (c *Controller) heirBut(id string, spec durable.Spec, lost string) string {
+	members := c.o.Views.Load().Fitting()
+	members = slices.DeleteFunc(members, func(m view.Member) bool { return m.Name == lost })
+	return cmp.Or(c.o.Hand.Runner(spec, members), firstOf(id, members))
+}
+
+// successor names an instance for a step of which only the ID is known.
 func (c *Controller) successor(id string) string {
+	return firstOf(id, c.o.Views.Load().Fitting())
+}
+
+func firstOf(id string, members []view.Member) string {
 	var names []string
-	for _, m := range c.o.Views.Load().Fitting() {
+	for _, m := range members {
 		names = append(names, m.Name)
 	}
 	return firstBy(id, names)
@@ -161,23 +193,39 @@
 	})
 }
 
-// takeOver makes this instance the owner and goes on from the rows.
-func (c *Controller) takeOver(ctx context.Context, id string, t infra.Table, s state) {
+// adopt runs a step that was accepted for this instance. Nobody else has owned it,
+// so there is nobody to be kept from writing.
+func (c *Controller) adopt(ctx context.Context, id string, t infra.Table, s state) {
+	l, err := load(ctx, t, s.head, nil)
+	if err != nil {
+		c.o.Log.Debug("step not adopted yet", "step", id, "error", err)
+		return
+	}
+	c.o.Log.Info("step adopted", "step", id, "results", len(l.results))
+	r := newRunner(c, l.step, t, s.ownerVersion, l.results)
+	r.saved = l.saved
+	c.begin(r)
+}
+
+// takeOver makes this instance the owner and goes on from the rows, or from what the
+// owner before said of the samples, if it did.
+func (c *Controller) takeOver(ctx context.Context, id string, t infra.Table, s state, told []durable.Saved) error {
 	began := c.o.Clock.Now()
 	if err := t.Commit(ctx, infra.PutJSON(ownerKey, s.ownerVersion, c.self())); err != nil {
 		c.o.Log.Info("step not taken over", "step", id, "owner", s.owner.Instance, "error", err)
-		return
+		return err
 	}
-	l, err := load(ctx, t, s.head)
+	l, err := load(ctx, t, s.head, told)
 	if err != nil {
 		c.o.Log.Warn("step taken over and not read", "step", id, "error", err)
-		return
+		return err
 	}
 	c.o.Log.Info("step taken over", "step", id, "from", s.owner.Instance, "incarnation", s.owner.Incarnation,
-		"results", len(l.results), "saved", len(l.saved), "took", c.o.Clock.Now()-began)
+		"results", len(l.results), "saved", len(l.saved), "told", len(told), "took", c.o.Clock.Now()-began)
 	r := newRunner(c, l.step, t, s.ownerVersion+1, l.results)
 	r.saved = l.saved
 	c.begin(r)
+	return nil
 }
 
 // loaded is a step as its rows tell it.
@@ -188,8 +236,9 @@
 	saved map[string]uint64
 }
 
-// load reads a step. Nothing is written to it meanwhile by anybody else.
-func load(ctx context.Context, t infra.Table, h head) (loaded, error) {
+// load reads a step. Nothing is written to it meanwhile by anybody else. What was
+// told of samples is newer than their rows.
+func load(ctx context.Context, t infra.Table, h head, told []durable.Saved) (loaded, error) {
 	samples, err := readSamples(ctx, t, h)
 	if err != nil {
 		return loaded{}, err
@@ -204,7 +253,7 @@
 	}
 	spec := h.Spec
 	spec.Samples = samples
-	return loaded{durable.New(spec, results, saved), results, versions}, nil
+	return loaded{durable.New(spec, results, append(told, saved...)), results, versions}, nil
 }
 
 // endpointsOf returns the engines of a service as a step sees them.
--- a/controller/steps/world_test.go
+++ b/controller/steps/world_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -126,7 +127,9 @@
 	name  string
 	table *faulty
 	views *view.Store
-	stop  func()
+	// gone instances answer nobody.
+	gone atomic.Bool
+	stop func()
 }
 
 type world struct {
@@ -134,6 +137,49 @@
 	fake      *fakeplatform.Platform
 	engines   *engines
 	instances map[string]*instance
+	// handing is how instances hand steps to each other.
+	handing handing
+}
+
+// handing has the steps of a model run by the same instance, while on is set.
+type handing struct {
+	w  *world
+	on bool
+	// lost has words to other instances lost, and late their answers.
+	lost, late atomic.Bool
+}
+
+func (h *handing) Runner(spec durable.Spec, members []view.Member) string {
+	if !h.on {
+		return ""
+	}
+	return steps.ByModel{}.Runner(spec, members)
+}
+
+func (h *handing) Alive(_ context.Context, m view.Member) error {
+	if h.w.instances[m.Name].gone.Load() {
+		return errors.New("nobody answers")
+	}
+	return nil
+}
+
+func (h *handing) TakeOver(ctx context.Context, m view.Member, step string, from steps.Owner, saved []durable.Saved) error {
+	if !h.on || h.lost.Load() {
+		return errors.New("nobody answers")
+	}
+	return h.w.instances[m.Name].TakeOver(ctx, step, from, saved)
+}
+
+func (h *handing) Adopt(_ context.Context, m view.Member, step string) error {
+	if h.lost.Load() {
+		return errors.New("nobody answers")
+	}
+	err := h.w.instances[m.Name].Adopt(step, m.Incarnation)
+	if h.late.Load() {
+		time.Sleep(100 * time.Millisecond)
+		return errors.New("the answer is lost")
+	}
+	return err
 }
 
 // newWorld runs instances that know each other.
@@ -142,6 +188,7 @@
 		t: t, fake: fakeplatform.New(fakeplatform.Options{}),
 		engines: &engines{after: map[string][]int{}}, instances: map[string]*instance{},
 	}
+	w.handing.w = w
 	for _, name := range names {
 		w.instances[name] = w.start(name)
 	}
@@ -149,6 +196,24 @@
 	return w
 }
 
+// newHandingWorld runs instances that hand steps to each other.
+func newHandingWorld(t *testing.T, names ...string) *world {
+	w := newWorld(t, names...)
+	w.handing.on = true
+	return w
+}
+
+// running counts the steps that instances run.
+func (w *world) running() map[string]int {
+	open := map[string]int{}
+	for name, in := range w.instances {
+		if n := in.Open(); n > 0 {
+			open[name] = n
+		}
+	}
+	return open
+}
+
 func (w *world) start(name string) *instance {
 	in := &instance{name: name, table: &faulty{Tables: w.fake.Tables()}, views: view.NewStore()}
 	state := config.NewState()
@@ -165,8 +230,10 @@
 		Score: func(_ context.Context, s durable.Scorer) (string, durable.ScoreEnd) {
 			return "score of " + s.ID, durable.ScoreDone
 		},
+		Hand:  &w.handing,
 		Clock: clock.NewMonotonic(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
 		Self: name, Incarnation: 1, Synced: func() bool { return true },
+		Away: in.table.down.Load,
 	})
 	ctx, cancel := context.WithCancel(w.t.Context())
 	var wg sync.WaitGroup
@@ -185,7 +252,7 @@
 func (w *world) setMembers(names, leaving []string) {
 	members := map[string]view.Member{}
 	for _, name := range names {
-		members[name] = view.Member{Name: name, Incarnation: 1}
+		members[name] = view.Member{Name: name, Incarnation: 1, PeerAddr: name}
 	}
 	for _, name := range leaving {
 		members[name] = view.Member{Name: name, Incarnation: 1, Leaving: true}
@@ -289,3 +356,21 @@
 	}
 	return n
 }
+
+// silence tells all instances that one's heartbeats ceased some time ago.
+func (w *world) silence(name string, ago time.Duration) {
+	for _, in := range w.instances {
+		in.views.Update(func(v *view.View) {
+			members := maps.Clone(v.Members)
+			v.MembersAt = time.Hour
+			for other, m := range members {
+				m.HeardAt = v.MembersAt
+				if other == name {
+					m.HeardAt -= ago
+				}
+				members[other] = m
+			}
+			v.Members = members
+		})
+	}
+}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -77,6 +78,8 @@
 	Network Network
 	// Pool carries attempts at endpoints.
 	Pool *attempt.Pool
+	// TLS is how connections are encrypted.
+	TLS TLS
 }
 
 // Managed is one instance on a managed platform.
@@ -119,7 +122,7 @@
 		Rows: deps.Platform.Members, Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: view.Member{
 			Name: s.Name, Incarnation: m.incarnation, DataCentre: s.DataCentre,
-			PeerAddr: s.Listen.Peers, CallerAddr: s.Listen.Callers, Size: s.Limits.ProcessorShare,
+			PeerAddr: cmp.Or(s.Listen.AdvertisePeers, s.Listen.Peers), CallerAddr: s.Listen.Callers, Size: s.Limits.ProcessorShare,
 		},
 		Period: time.Duration(s.Timing.MemberPeriod), Lapse: time.Duration(s.Timing.MemberLapse),
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
@@ -149,12 +152,24 @@
 	})
 	m.steps = steps.New(steps.Options{
 		Steps: deps.Platform.Steps, Shared: deps.Platform.Own.Part(sharedPart), Engines: deps.Platform.Engines, Score: m.score(),
+		Hand:  steps.ByModel{Peers: m.peerClient()},
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: s.Name, Incarnation: m.incarnation, Synced: m.presence.Synced,
+		Away: m.away,
 	})
 	return m
 }
 
+// awayAfter is the time without an answer of the store after which an instance
+// counts as cut off from it.
+const awayAfter = 1200 * time.Millisecond
+
+// away reports whether the store has not answered this instance for a while.
+func (m *Managed) away() bool {
+	age, known := m.intent.Age(m.d.Clock.Now())
+	return !known || age > awayAfter
+}
+
 // sharedPart is the part of the own rows that tells what steps ask for.
 const sharedPart = "demand"
 
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/attempt"
+	"github.com/cumincove/cumincove/internal/tlsfile"
 )
 
 // Network opens listeners and connections.
@@ -36,12 +37,14 @@
 		maxConns   int // zero means no bound
 		refuses    bool
 		timed      bool // by the configuration
+		tls        *tlsfile.Source
 		h          http.Handler
 	}{
-		{"callers", l.Callers, limits.Connections, true, true, bounded(m.d.Adapter.Callers(sys), limits.HeaderBytes)},
-		{"readiness", l.Readiness, 0, false, false, m.d.Adapter.Readiness(sys)},
-		{"entries", l.Entries, 0, false, false, m.d.Adapter.Entries(sys)},
-		{"operators", l.Operators, 0, false, false, m.monitoring()},
+		{"callers", l.Callers, limits.Connections, true, true, m.d.TLS.Callers, bounded(m.d.Adapter.Callers(sys), limits.HeaderBytes)},
+		{"peers", l.Peers, 0, false, false, m.d.TLS.Peers, bounded(m.peerHandler(), limits.HeaderBytes)},
+		{"readiness", l.Readiness, 0, false, false, nil, m.d.Adapter.Readiness(sys)},
+		{"entries", l.Entries, 0, false, false, nil, m.d.Adapter.Entries(sys)},
+		{"operators", l.Operators, 0, false, false, m.d.TLS.Operators, m.monitoring()},
 	}
 	var servers []*server
 	for _, p := range plan {
@@ -54,7 +57,7 @@
 		if p.maxConns > 0 {
 			ln = &boundedListener{Listener: ln, max: int64(p.maxConns)}
 		}
-		s := newServer(p.name, ln, httpServer(p.h, limits, m.d.Log))
+		s := newServer(p.name, p.tls.Listener(ln), httpServer(p.h, limits, m.d.Log))
 		s.refuses = p.refuses
 		if p.timed {
 			s.limitTimes(m.connTimes)
@@ -64,6 +67,24 @@
 	return servers, nil
 }
 
+// peerHandler serves other instances.
+func (m *Managed) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(m.steps.Peer())
+	return mux
+}
+
+// peerClient calls other instances.
+func (m *Managed) peerClient() *http.Client {
+	dial := tlsfile.Dial(attempt.WithUserTimeout(m.d.Network.Dial, userTimeout))
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         m.d.TLS.Peers.Dialer(dial),
+		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
+	}}
+}
+
 // connTimes are the configuration's times for callers, or the program's own where
 // it has none.
 func (m *Managed) connTimes() connTimes {
--- a/view/view.go
+++ b/view/view.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/infra"
@@ -21,6 +22,8 @@
 	Endpoints map[string][]*Endpoint
 	// Members are the instances believed alive or leaving, by name.
 	Members map[string]Member
+	// MembersAt is when the members' heartbeats were last read, in boot time.
+	MembersAt time.Duration
 	// RolloutInstances is the number of instances that have rollout work, this
 	// one included. Zero means that it has none, or that the others may not
 	// have heard of it yet; see RolloutSharers.
@@ -46,6 +49,9 @@
 	CallerAddr  string
 	// Leaving instances take no new callers.
 	Leaving bool
+	// HeardAt is when its last heartbeat was read, in boot time, where heartbeats are
+	// rows; see View.MembersAt.
+	HeardAt time.Duration
 	// Size is the part of a processor that the instance has; zero is unknown.
 	Size float64
 	// InFlight is the instance's own last word on its requests in flight.
