Samples leave engines that are much slower than others, or silent

Cause: on managed platforms a stream stayed at its engine until bytes stopped for 2.5 s (4 s for the first).

A step looks at its streams' rates five times a second. One at two thirds of the median rate, over a second, or without an event for 0.7 s, goes on elsewhere after its last event, four times at most; engines that were slow come last. What holds up most streams is not the engines' fault and moves nothing, neither does a pause of the process.

TestSamplesLeaveSlowEndpoints: 4.0 s for a step when all are well; with one of eight endpoints four times slower, or silent: 4.6 to 4.8 s. Without moves: 15.1 and 12.2 s when it turns slower at once or after a second; never when it goes silent. TestWhatHoldsUpAllMovesNothing: a first form that compared with remembered rates moved 16 samples when all endpoints turned slow.

--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -146,6 +146,10 @@
 			cancel()
 			delete(r.streams, a.Run)
 		}
+		if a.Slow {
+			r.log.Info("sample held up goes on elsewhere", "endpoint", a.Endpoint)
+			r.c.o.Scope.Counter("samples_moved").Inc(1)
+		}
 	case durable.Score:
 		wg.Go(func() { r.score(ctx, a) })
 	case durable.Start:
--- a/durable/place.go
+++ b/durable/place.go
@@ -11,7 +11,7 @@
 	if s.stranded(p, endpoints) {
 		p.events, p.versions = nil, nil
 	}
-	e := s.pick(now, p, endpoints)
+	e, _ := s.pick(now, p, endpoints)
 	if e == nil {
 		return nil
 	}
@@ -25,6 +25,7 @@
 	p.state = running
 	p.run = s.nextRun
 	p.endpoint = e.Name
+	p.progress.begin(now, len(p.events))
 	s.byRun[p.run] = p
 	return Start{Run: p.run, Sample: p.Sample, Endpoint: e.Name, After: len(p.events)}
 }
@@ -54,10 +55,11 @@
 }
 
 // pick returns the endpoint with the least load of those with room and a
-// version that the sample takes. One that just failed the sample comes last. Of
-// equal ones each step begins with another, so that steps whose owners know the
-// same of the endpoints don't meet at one.
-func (s *Step) pick(now time.Duration, p *sample, endpoints []Endpoint) *Endpoint {
+// version that the sample takes, and whether it is one to avoid: those that just
+// failed the sample, or are slow, come last. Of equal ones each step begins with
+// another, so that steps whose owners know the same of the endpoints don't meet at
+// one.
+func (s *Step) pick(now time.Duration, p *sample, endpoints []Endpoint) (e *Endpoint, avoided bool) {
 	var best *Endpoint
 	bestAvoided := false
 	for i := range endpoints {
@@ -65,7 +67,7 @@
 		if e.Free <= 0 || !s.takes(p, e.Version) || s.rests[e.Name].closed(now) {
 			continue
 		}
-		avoided := e.Name == p.avoid && now < p.avoidUntil
+		avoided := e.Name == p.avoid && now < p.avoidUntil || s.slow(e.Name)
 		switch {
 		case best == nil, bestAvoided && !avoided:
 		case avoided && !bestAvoided, e.Load >= best.Load:
@@ -73,7 +75,7 @@
 		}
 		best, bestAvoided = e, avoided
 	}
-	return best
+	return best, bestAvoided
 }
 
 // takes reports whether a version may produce a sample's next event.
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -106,7 +106,12 @@
 
 // Cancel stops a stream that is of no more use. Nothing more needs to be
 // reported of it.
-type Cancel struct{ Run RunID }
+type Cancel struct {
+	Run RunID
+	// Slow says that the Endpoint held the sample up, which goes on elsewhere.
+	Slow     bool
+	Endpoint string
+}
 
 // Score asks for a sample's score. Report with Scored.
 type Score struct {
--- a/durable/step.go
+++ b/durable/step.go
@@ -52,6 +52,7 @@
 	endpoint   string
 	avoid      string
 	avoidUntil time.Duration
+	progress   progress
 	// savedEvents is how many events were saved, and savedFailures how many
 	// failures of both kinds.
 	savedEvents, savedFailures int
@@ -75,6 +76,11 @@
 	queue    []*sample
 	ended    bool
 	cancels  []Action
+	// paces are the endpoints' rates of late, typical the one in the middle, and
+	// lookedAt when they were last brought up to date.
+	paces    paces
+	typical  float64
+	lookedAt time.Duration
 	// rests holds the endpoints that refused samples of late.
 	rests map[string]rest
 }
@@ -93,7 +99,7 @@
 // New returns a Step with the results that are stored already, in order of
 // position, and what was saved of other samples.
 func New(spec Spec, results []Result, saved []Saved) *Step {
-	s := &Step{spec: spec, byID: map[string]*sample{}, byRun: map[RunID]*sample{}, rests: map[string]rest{}}
+	s := &Step{spec: spec, byID: map[string]*sample{}, byRun: map[RunID]*sample{}, rests: map[string]rest{}, paces: paces{}}
 	s.first = int(xxhash.Sum64String(spec.ID) >> 33) // fits an int of any size
 	for _, sm := range spec.Samples {
 		p := &sample{Sample: sm}
@@ -159,7 +165,7 @@
 func (s *Step) Finish() []Action {
 	s.ended = true
 	for run := range s.byRun {
-		s.cancels = append(s.cancels, Cancel{run})
+		s.cancels = append(s.cancels, Cancel{Run: run})
 	}
 	clear(s.byRun)
 	s.queue = nil
@@ -185,7 +191,7 @@
 	}
 	delete(s.byRun, p.run)
 	delete(s.rests, p.endpoint)
-	s.cancels = append(s.cancels, Cancel{p.run})
+	s.cancels = append(s.cancels, Cancel{Run: p.run})
 	p.state = waiting
 }
 
@@ -196,6 +202,7 @@
 	if s.ended {
 		return actions
 	}
+	actions = append(actions, s.move(now, endpoints)...)
 	left := s.order[:0]
 	for _, p := range s.order {
 		switch p.state {
