Requests and samples go where a connection is open

Cause: an instance with a request now and then chose among all endpoints each time, and opened a connection for most of them. The users' endpoints keep connections for 10 s, and say so.

The pool tells how many open connections to an address are unused. For a sample a new connection counts like 0.3 of an endpoint's slots. Unused connections are kept for 8 s.

--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -1,9 +1,11 @@
 package attempt
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +38,7 @@
 		Dialect:  DefaultDialect(),
 		Dial:     WithUserTimeout(new(net.Dialer).DialContext, 5*time.Second),
 		Connect:  time.Second,
-		Idle:     5 * time.Second,
+		Idle:     8 * time.Second,
 		IdleOnce: time.Second,
 		MaxIdle:  64,
 	}
@@ -119,6 +121,21 @@
 	return &conn{cc: cc, host: h}, nil
 }
 
+// Warm counts the unused connections to an address that requests which may run
+// twice can use.
+func (p *Pool) Warm(addr string) int {
+	v, ok := p.hosts.Load(addr)
+	if !ok {
+		return 0
+	}
+	h := v.(*host)
+	oldest := p.opt.Clock.Now() - p.opt.Idle
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old, _ := slices.BinarySearchFunc(h.idle, oldest, func(c *conn, at time.Duration) int { return cmp.Compare(c.since, at) })
+	return len(h.idle) - old
+}
+
 // use returns the host at an address and counts a connection in use there, so
 // that the host is not forgotten before it comes back.
 func (p *Pool) use(addr string) *host {
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -35,6 +35,8 @@
 	Shared  infra.Table
 	Engines infra.Engines
 	Score   ScoreFunc
+	// Warm counts the open and unused connections to an address.
+	Warm func(addr string) int
 	// Hand decides which instance runs a step that another one accepts.
 	Hand  Hand
 	Views *view.Store
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -124,7 +124,7 @@
 	var endpoints []durable.Endpoint
 	v := r.c.o.Views.Load()
 	if !r.paused {
-		endpoints = endpointsOf(v, r.spec)
+		endpoints = r.c.endpointsOf(v, r.spec)
 	}
 	actions := r.step.Tick(r.c.o.Clock.Now(), endpoints)
 	pause := tickPeriod
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -257,7 +257,7 @@
 }
 
 // endpointsOf returns the engines of a service as a step sees them.
-func endpointsOf(v *view.View, spec durable.Spec) []durable.Endpoint {
+func (c *Controller) endpointsOf(v *view.View, spec durable.Spec) []durable.Endpoint {
 	var list []durable.Endpoint
 	for _, e := range v.Endpoints[spec.Service] {
 		if e.Leaving || e.Weights[spec.Model] == 0 {
@@ -269,6 +269,7 @@
 			Version: e.Weights[spec.Model],
 			Free:    e.Slots - inUse,
 			Load:    float64(inUse) / float64(max(e.Slots, 1)),
+			Warm:    c.o.Warm(e.Addr),
 		})
 	}
 	return list
--- a/controller/steps/world_test.go
+++ b/controller/steps/world_test.go
@@ -230,6 +230,7 @@
 		Score: func(_ context.Context, s durable.Scorer) (string, durable.ScoreEnd) {
 			return "score of " + s.ID, durable.ScoreDone
 		},
+		Warm:  func(string) int { return 0 },
 		Hand:  &w.handing,
 		Clock: clock.NewMonotonic(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
 		Self: name, Incarnation: 1, Synced: func() bool { return true },
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -27,6 +28,9 @@
 	DataCentre string
 	Queue      fairqueue.Options
 	Limit      limit.Options
+	// Warm counts the open and unused connections to an address; nil means that
+	// there are never any.
+	Warm func(addr string) int
 	// Random returns a uniform number in [0, n); nil means math/rand/v2.
 	Random func(n int) int
 }
@@ -37,6 +41,8 @@
 	services  sync.Map // service name to *service
 	endpoints sync.Map // *view.Stats to *endpoint
 	prefixes  prefixes
+	// first is where the look for open connections begins in a list of endpoints.
+	first int
 }
 
 // New returns a Dispatcher.
@@ -44,10 +50,13 @@
 	if opt.Random == nil {
 		opt.Random = rand.IntN
 	}
+	if opt.Warm == nil {
+		opt.Warm = func(string) int { return 0 }
+	}
 	if opt.Scope == nil {
 		opt.Scope = tally.NoopScope
 	}
-	d := &Dispatcher{opt: opt}
+	d := &Dispatcher{opt: opt, first: rand.IntN(math.MaxInt32)}
 	d.prefixes.init(opt.Scope)
 	return d
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -96,6 +96,7 @@
 	for _, list := range [][]*view.Endpoint{idx.local, idx.remote} {
 		c := &candidates{d: s.d, list: list, work: w, now: now, peers: peers, held: s.meanHeld()}
 		idx.prefer(c)
+		c.preferWarm()
 		if slot := s.take(c); slot != nil {
 			return slot
 		}
--- a/durable/losses_test.go
+++ b/durable/losses_test.go
@@ -84,3 +84,20 @@
 		t.Errorf("%d of 120 samples went to endpoints without room: %v", over, given)
 	}
 }
+
+// TestOpenConnectionsGoFirst: a step's samples go where connections are open, as far
+// as they go, and then to idle endpoints.
+func TestOpenConnectionsGoFirst(t *testing.T) {
+	spec := Spec{ID: "s"}
+	for i := range 6 {
+		spec.Samples = append(spec.Samples, Sample{ID: fmt.Sprint("x", i)})
+	}
+	endpoints := []Endpoint{{Name: "cold", Free: 6}, {Name: "warm", Free: 6, Warm: 2}, {Name: "busy", Free: 1, Load: 5. / 6, Warm: 9}}
+	given := map[string]int{}
+	for _, a := range New(spec, nil, nil).Tick(0, endpoints) {
+		given[a.(Start).Endpoint]++
+	}
+	if given["warm"] < 2 || given["cold"] < 2 || given["busy"] > 0 {
+		t.Errorf("samples went to %v", given)
+	}
+}
--- a/durable/place.go
+++ b/durable/place.go
@@ -21,6 +21,7 @@
 	}
 	e.Free--
 	e.Load += loadOf(e)
+	e.Warm--
 	s.nextRun++
 	p.state = running
 	p.run = s.nextRun
@@ -61,7 +62,7 @@
 // one.
 func (s *Step) pick(now time.Duration, p *sample, endpoints []Endpoint) (e *Endpoint, avoided bool) {
 	var best *Endpoint
-	bestAvoided := false
+	bestAvoided, least := false, 0.0
 	for i := range endpoints {
 		e := &endpoints[(s.first+i)%len(endpoints)]
 		if e.Free <= 0 || !s.takes(p, e.Version) || s.rests[e.Name].closed(now) {
@@ -70,14 +71,26 @@
 		avoided := e.Name == p.avoid && now < p.avoidUntil || s.slow(e.Name)
 		switch {
 		case best == nil, bestAvoided && !avoided:
-		case avoided && !bestAvoided, e.Load >= best.Load:
+		case avoided && !bestAvoided, e.cost() >= least:
 			continue
 		}
-		best, bestAvoided = e, avoided
+		best, bestAvoided, least = e, avoided, e.cost()
 	}
 	return best, bestAvoided
 }
 
+// coldCost is the part of its slots that a new connection to an endpoint is worth.
+// Streams beside others are hardly slower.
+const coldCost = 0.3
+
+// cost is what speaks against an endpoint.
+func (e *Endpoint) cost() float64 {
+	if e.Warm > 0 {
+		return e.Load
+	}
+	return e.Load + coldCost
+}
+
 // takes reports whether a version may produce a sample's next event.
 func (s *Step) takes(p *sample, version uint64) bool {
 	if version < s.spec.MinVersion {
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -87,6 +87,8 @@
 	// part of its slots that is in use.
 	Free int
 	Load float64
+	// Warm is the number of open and unused connections to it.
+	Warm int
 }
 
 // RunID names one stream from one engine within its Step.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -187,6 +187,10 @@
 
 // newRequestParts builds what the filter chain of services works with.
 func (d *Daemon) newRequestParts() {
+	opt := attempt.DefaultOptions()
+	opt.Clock = d.d.Clock
+	opt.Dial = attempt.WithUserTimeout(d.d.Dial, userTimeout)
+	d.pool = attempt.NewPool(opt)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Views:      d.views,
 		Clock:      d.d.Clock,
@@ -195,11 +199,8 @@
 		DataCentre: d.d.Settings.DataCentre,
 		Queue:      fairqueue.DefaultOptions(),
 		Limit:      limit.DefaultOptions(),
+		Warm:       d.pool.Warm,
 	})
-	opt := attempt.DefaultOptions()
-	opt.Clock = d.d.Clock
-	opt.Dial = attempt.WithUserTimeout(d.d.Dial, userTimeout)
-	d.pool = attempt.NewPool(opt)
 	d.revocations = filter.NewRevocations(filter.RevocationsOptions{
 		Views: d.views, Freshness: d.configuration, Clock: d.d.Clock,
 	})
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -152,6 +152,7 @@
 	})
 	m.steps = steps.New(steps.Options{
 		Steps: deps.Platform.Steps, Shared: deps.Platform.Own.Part(sharedPart), Engines: deps.Platform.Engines, Score: m.score(),
+		Warm:  m.d.Pool.Warm,
 		Hand:  steps.ByModel{Peers: m.peerClient()},
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: s.Name, Incarnation: m.incarnation, Synced: m.presence.Synced,
@@ -189,6 +190,7 @@
 		Views: m.views, Clock: m.d.Clock, Log: m.d.Log, Scope: m.d.Scope,
 		DataCentre: m.d.Settings.DataCentre,
 		Queue:      fairqueue.DefaultOptions(), Limit: limit.DefaultOptions(),
+		Warm: m.d.Pool.Warm,
 	})
 	m.revocations = filter.NewRevocations(filter.RevocationsOptions{
 		Views: m.views, Freshness: m.intent, Clock: m.d.Clock,
