Steps are offered to instances that say that they take them; hand-over in files

An instance that is asked whether it is there now says whether it takes steps; only then are the samples sent. TestStepStaysWhileTheStoreIsDown counts the offers: 0. The clients, the server and the giving away are files of their own.

--- a/controller/steps/hand.go
+++ b/controller/steps/hand.go
@@ -1,19 +1,14 @@
 package steps
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net/http"
-	"slices"
-	"sync"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cespare/xxhash/v2"
 
 	"github.com/cumincove/cumincove/durable"
 	"github.com/cumincove/cumincove/internal/pb/stepsv1"
@@ -25,10 +20,8 @@
 	// adoptTimeout bounds the wait for another instance to say that it runs a
 	// step. Without its word the one that accepted the step runs it.
 	adoptTimeout = 400 * time.Millisecond
-	// takeOverTimeout bounds the wait for another instance to take a step over, and
-	// mostAsked is how many are asked at a time.
+	// takeOverTimeout bounds the wait for another instance to take a step over.
 	takeOverTimeout = 700 * time.Millisecond
-	mostAsked       = 3
 	// samplesEach is how many samples of a step one instance runs; the steps of a
 	// model with more go to several instances by turns.
 	samplesEach = 1024
@@ -45,8 +38,8 @@
 	Runner(spec durable.Spec, members []view.Member) string
 	// Adopt tells it to. Nil means that it does.
 	Adopt(ctx context.Context, m view.Member, step string) error
-	// Alive returns nil if an instance answers.
-	Alive(ctx context.Context, m view.Member) error
+	// Alive returns nil if an instance answers, and whether it takes steps over.
+	Alive(ctx context.Context, m view.Member) (takes bool, err error)
 	// TakeOver asks an instance to take a step over from this one, with what has
 	// come of its samples. Nil means that it has.
 	TakeOver(ctx context.Context, m view.Member, step string, from Owner, saved []durable.Saved) error
@@ -62,7 +55,7 @@
 func (Kept) Adopt(context.Context, view.Member, string) error { return errNotAdopted }
 
 // Alive implements Hand.
-func (Kept) Alive(context.Context, view.Member) error { return nil }
+func (Kept) Alive(context.Context, view.Member) (bool, error) { return false, nil }
 
 // TakeOver implements Hand.
 func (Kept) TakeOver(context.Context, view.Member, string, Owner, []durable.Saved) error {
@@ -99,12 +92,15 @@
 }
 
 // Alive implements Hand.
-func (h ByModel) Alive(ctx context.Context, m view.Member) error {
+func (h ByModel) Alive(ctx context.Context, m view.Member) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
-	_, err := peer.Alive(ctx, connect.NewRequest(&stepsv1.AliveRequest{Incarnation: m.Incarnation}))
-	return err
+	resp, err := peer.Alive(ctx, connect.NewRequest(&stepsv1.AliveRequest{Incarnation: m.Incarnation}))
+	if err != nil {
+		return false, err
+	}
+	return resp.Msg.GetTakesSteps(), nil
 }
 
 // TakeOver implements Hand.
@@ -122,42 +118,6 @@
 	return err
 }
 
-// Peer returns the path and the handler that serve other instances.
-func (c *Controller) Peer() (string, http.Handler) {
-	return stepsv1connect.NewStepServiceHandler(peer{c})
-}
-
-type peer struct{ c *Controller }
-
-// Adopt runs a step, in the background.
-func (p peer) Adopt(_ context.Context, r *connect.Request[stepsv1.AdoptRequest]) (*connect.Response[stepsv1.AdoptResponse], error) {
-	if err := p.c.Adopt(r.Msg.GetStep(), r.Msg.GetIncarnation()); err != nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
-	}
-	return connect.NewResponse(&stepsv1.AdoptResponse{}), nil
-}
-
-// Alive answers for this incarnation.
-func (p peer) Alive(_ context.Context, r *connect.Request[stepsv1.AliveRequest]) (*connect.Response[stepsv1.AliveResponse], error) {
-	if r.Msg.GetIncarnation() != p.c.o.Incarnation {
-		return nil, connect.NewError(connect.CodeNotFound, errNotAdopted)
-	}
-	return connect.NewResponse(&stepsv1.AliveResponse{}), nil
-}
-
-// TakeOver takes a step over from an owner that asks for it.
-func (p peer) TakeOver(ctx context.Context, r *connect.Request[stepsv1.TakeOverRequest]) (*connect.Response[stepsv1.TakeOverResponse], error) {
-	var saved []durable.Saved
-	if err := json.Unmarshal(r.Msg.GetSaved(), &saved); err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
-	}
-	from := Owner{Instance: r.Msg.GetOwner(), Incarnation: r.Msg.GetIncarnation()}
-	if err := p.c.TakeOver(ctx, r.Msg.GetStep(), from, saved); err != nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
-	}
-	return connect.NewResponse(&stepsv1.TakeOverResponse{}), nil
-}
-
 // Adopt runs a step whose rows name an incarnation of this instance as the owner,
 // in the background. What fails then is left to the next look for steps.
 func (c *Controller) Adopt(id string, incarnation uint64) error {
@@ -197,52 +157,6 @@
 	return c.takeOver(ctx, id, t, s, saved)
 }
 
-// giveAway has other instances take over all steps of this one, which can't reach
-// the store. Where none does, for example as the store is down, they stay.
-func (c *Controller) giveAway(ctx context.Context) {
-	c.mu.Lock()
-	list := slices.Collect(maps.Values(c.runners))
-	c.mu.Unlock()
-	var wg sync.WaitGroup
-	for _, r := range list {
-		wg.Go(func() { c.give(ctx, r) })
-	}
-	wg.Wait()
-}
-
-// give asks some instances in turn to take a step over.
-func (c *Controller) give(ctx context.Context, r *runner) {
-	r.mu.Lock()
-	saved := r.step.Unsaved(0)
-	r.mu.Unlock()
-	asked := 0
-	for _, m := range c.takers(r.spec) {
-		if asked++; asked > mostAsked || ctx.Err() != nil {
-			return
-		}
-		began := c.o.Clock.Now()
-		err := c.o.Hand.TakeOver(ctx, m, r.spec.ID, c.self(), saved)
-		r.log.Info("step offered to another instance, as the store does not answer here", "to", m.Name,
-			"saved", len(saved), "took", c.o.Clock.Now()-began, "error", err)
-		if err == nil {
-			c.note(r.spec.ID, state{head: head{Spec: r.spec}, owner: Owner{m.Name, m.Incarnation}})
-			r.end()
-			return
-		}
-	}
-}
-
-// takers lists the other fitting instances in an order of each step's own.
-func (c *Controller) takers(spec durable.Spec) []view.Member {
-	members := slices.DeleteFunc(c.o.Views.Load().Fitting(), func(m view.Member) bool {
-		return m.Name == c.o.Self || m.PeerAddr == ""
-	})
-	slices.SortFunc(members, func(a, b view.Member) int {
-		return cmp.Compare(xxhash.Sum64String(spec.ID+"/"+b.Name), xxhash.Sum64String(spec.ID+"/"+a.Name))
-	})
-	return members
-}
-
 // runnerOf returns the instance that is to run a step which this one accepts.
 func (c *Controller) runnerOf(spec durable.Spec) view.Member {
 	v := c.o.Views.Load()
--- a/controller/steps/hand_test.go
+++ b/controller/steps/hand_test.go
@@ -144,6 +144,9 @@
 				t.Errorf("%s ran after events %v, want once", s.ID, runs)
 			}
 		}
+		if n := w.handing.offers.Load(); n > 0 {
+			t.Errorf("samples were sent %d times to instances that can't take them", n)
+		}
 	})
 }
 
--- a/controller/steps/silence.go
+++ b/controller/steps/silence.go
@@ -26,7 +26,7 @@
 	}
 	lost, ok := s.asked[o]
 	if !ok {
-		err := s.c.o.Hand.Alive(ctx, m)
+		_, err := s.c.o.Hand.Alive(ctx, m)
 		lost = err != nil
 		s.asked[o] = lost
 		s.c.o.Log.Info("silent owner asked", "owner", o.Instance, "incarnation", o.Incarnation,
--- a/controller/steps/world_test.go
+++ b/controller/steps/world_test.go
@@ -147,6 +147,8 @@
 	on bool
 	// lost has words to other instances lost, and late their answers.
 	lost, late atomic.Bool
+	// offers counts the steps that were sent to others to take over.
+	offers atomic.Int64
 }
 
 func (h *handing) Runner(spec durable.Spec, members []view.Member) string {
@@ -156,17 +158,19 @@
 	return steps.ByModel{}.Runner(spec, members)
 }
 
-func (h *handing) Alive(_ context.Context, m view.Member) error {
-	if h.w.instances[m.Name].gone.Load() {
-		return errors.New("nobody answers")
+func (h *handing) Alive(_ context.Context, m view.Member) (bool, error) {
+	in := h.w.instances[m.Name]
+	if in.gone.Load() {
+		return false, errors.New("nobody answers")
 	}
-	return nil
+	return !in.table.down.Load(), nil
 }
 
 func (h *handing) TakeOver(ctx context.Context, m view.Member, step string, from steps.Owner, saved []durable.Saved) error {
 	if !h.on || h.lost.Load() {
 		return errors.New("nobody answers")
 	}
+	h.offers.Add(1)
 	return h.w.instances[m.Name].TakeOver(ctx, step, from, saved)
 }
 
