A step that a small instance took over is not forgotten by a lost answer

Found by reading the change: an instance that steps don't fall to takes back a step whose runner does not answer. When the answer of that write was lost, its row named the instance as owner, which did not run it and did not look for it either, while all others saw a living owner. Nobody would have run it.

Taking over for an owner without the store no longer ends with that owner's wait.

--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -66,6 +66,8 @@
 	// accepting holds the steps that are being accepted, or claimed, here.
 	accepting map[string]bool
 	views     map[string]*stepView
+	// scans counts the looks left out; only Run uses it.
+	scans int
 	// leaving is set when this instance gives its steps away.
 	leaving bool
 	running sync.WaitGroup
--- a/controller/steps/hand.go
+++ b/controller/steps/hand.go
@@ -144,6 +144,9 @@
 		return errNotAdopted
 	}
 	defer c.stopAccepting(id)
+	// The asking owner waits for less time than a slow store takes.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
 	t := c.table(id)
 	s, err := readState(ctx, t)
 	switch {
@@ -176,13 +179,28 @@
 	if err == nil {
 		return
 	}
+	var pause backoff
+	for !c.runInPlaceOf(Owner{to.Name, to.Incarnation}, id) && pause.wait(c.ctx) == nil {
+	}
+}
+
+// runInPlaceOf takes a step over from the owner that it was handed to, and reports
+// whether there is nothing left to do: the step runs here, or is not that owner's.
+func (c *Controller) runInPlaceOf(to Owner, id string) bool {
+	if c.runner(id) != nil {
+		return true
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
 	defer cancel()
 	t := c.table(id)
 	s, err := readState(ctx, t)
-	if err != nil || s.ended || s.owner != (Owner{to.Name, to.Incarnation}) {
-		c.o.Log.Info("step left to others", "step", id, "owner", s.owner.Instance, "ended", s.ended, "error", err)
-		return
+	switch {
+	case err != nil:
+		c.o.Log.Debug("step not read", "step", id, "error", err)
+		return false
+	case s.ended || s.owner != to && s.owner != c.self(): // ours if an answer was lost
+		c.o.Log.Info("step left to others", "step", id, "owner", s.owner.Instance, "ended", s.ended)
+		return true
 	}
-	_ = c.takeOver(ctx, id, t, s, nil) // it has left its line; scans try again
+	return c.takeOver(ctx, id, t, s, nil) == nil
 }
--- a/controller/steps/hand_test.go
+++ b/controller/steps/hand_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cumincove/cumincove/infra"
 	"github.com/cumincove/cumincove/internal/bubble"
 )
 
@@ -179,3 +180,30 @@
 		})
 	}
 }
+
+// TestStepOfASmallInstanceIsNotForgotten: an instance that steps don't fall to runs one
+// that it accepted, though the answer to its taking the step over was lost.
+func TestStepOfASmallInstanceIsNotForgotten(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		w := newHandingWorld(t, "a", "b", "c", "d")
+		defer w.stopAll()
+		small := w.instances["d"]
+		w.resize("d", 0.1)
+		w.handing.lost.Store(true)
+		lost := 0
+		late := func(commit func()) error {
+			commit()
+			if lost++; lost == 2 { // the first one accepts the step
+				return infra.ErrUnknownOutcome
+			}
+			return nil
+		}
+		small.table.late.Store(&late)
+		w.mustAccept(small, spec("s", 2))
+		time.Sleep(time.Second)
+		if open := w.running(); open["d"] != 1 {
+			t.Errorf("steps run at %v, want at d, which was left alone with it", open)
+		}
+		w.mustRead(w.instances["a"], "s", 2, time.Minute)
+	})
+}
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -13,13 +13,18 @@
 	"github.com/cumincove/cumincove/view"
 )
 
-// partsPage is the number of steps listed at a time.
-const partsPage = 1000
+const (
+	// partsPage is the number of steps listed at a time.
+	partsPage = 1000
+	// seldom is how many times as long instances that steps don't fall to take
+	// between two looks.
+	seldom = 10
+)
 
 // scan looks for steps whose owner is gone, and takes over those that fall to
 // this instance.
 func (c *Controller) scan(ctx context.Context) {
-	if !c.o.Synced() || c.isLeaving() || !c.fits() {
+	if !c.o.Synced() || c.isLeaving() || !c.fits() && !c.scansSeldom() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -170,6 +175,13 @@
 	return cmp.Or(c.o.Hand.Runner(spec, members), firstOf(id, members))
 }
 
+// scansSeldom reports whether an instance that steps don't fall to looks all the same:
+// a step may be its own by a write whose answer was lost.
+func (c *Controller) scansSeldom() bool {
+	c.scans++
+	return c.scans%seldom == 0
+}
+
 // successor names an instance for a step of which only the ID is known.
 func (c *Controller) successor(id string) string {
 	return firstOf(id, c.o.Views.Load().Fitting())
--- a/controller/steps/world_test.go
+++ b/controller/steps/world_test.go
@@ -379,3 +379,15 @@
 		})
 	}
 }
+
+// resize tells all instances that one is smaller than the others.
+func (w *world) resize(name string, size float64) {
+	for _, in := range w.instances {
+		in.views.Update(func(v *view.View) {
+			v.Members = maps.Clone(v.Members)
+			m := v.Members[name]
+			m.Size = size
+			v.Members[name] = m
+		})
+	}
+}
