--- a/internal/daemon/sharing_test.go
+++ b/internal/daemon/sharing_test.go
@@ -145,15 +145,13 @@
 		Addr: strings.TrimPrefix(faulty.URL, "http://"),
 	}}})
 	b.eventually("the endpoint is asked", func() bool {
-		b.send(0, "again", coachKey, "probe", nil)
+		b.sendTogether("probe")
 		return asked.Load() > 0
 	})
 	failed := 0
 	const requests = 400
-	for i := range requests {
-		if b.send(0, "again", coachKey, fmt.Sprintf("load %d", i), nil).status != http.StatusOK {
-			failed++
-		}
+	for i := 0; i < requests; i += atOnce {
+		failed += b.sendTogether(fmt.Sprintf("load %d", i))
 	}
 	t.Logf("%d of %d requests failed, the faulty endpoint was asked %d times", failed, requests, asked.Load())
 	if failed > requests/10 {
@@ -161,6 +159,25 @@
 	}
 }
 
+// atOnce is how many requests are sent together: one after another they would all go
+// to the endpoint to which a connection is open.
+const atOnce = 8
+
+// sendTogether sends some requests at once and counts those that failed.
+func (b *bed) sendTogether(body string) int {
+	var failed atomic.Int64
+	var wg sync.WaitGroup
+	for i := range atOnce {
+		wg.Go(func() {
+			if b.send(0, "again", coachKey, fmt.Sprint(body, " ", i), nil).status != http.StatusOK {
+				failed.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(failed.Load())
+}
+
 // apply commits a change of the configuration.
 func (b *bed) apply(put config.Objects) {
 	b.t.Helper()
