--- a/controller/presence/doc.go
+++ b/controller/presence/doc.go
@@ -7,5 +7,6 @@
 // does not answer nobody is taken for dead.
 //
 // The rows also tell what an instance has in flight at each endpoint, so that
-// the others can count it in.
+// the others can count it in, how large it is, and what teams use there while
+// requests wait elsewhere.
 package presence
--- a/controller/steps/doc.go
+++ b/controller/steps/doc.go
@@ -10,12 +10,16 @@
 //	result/POS/N    a result, over as many rows as it needs
 //	saved/ID        what has come of a sample that has no result yet
 //
-// Any instance accepts a step, by one transaction, and owns it then. Any
-// instance answers reads, from the rows. Only the owner writes results: each
-// such transaction demands the version of the owner's row that the owner was
-// made with, so nothing is written by an owner that was replaced. An instance
-// whose member row lapsed, or has another incarnation than the owner's row,
-// owns nothing any more, and one of the others takes its steps over.
+// Any instance accepts a step, by one transaction that also names its owner: the
+// instance that runs the steps of its model, which is told (Hand). Any instance
+// answers reads, from the rows. Only the owner writes results: each such
+// transaction demands the version of the owner's row that the owner was made
+// with, so nothing is written by an owner that was replaced.
+//
+// An instance whose member row lapsed, or has another incarnation than the
+// owner's row, owns nothing any more, and one of the others takes its steps over.
+// So it does sooner when the owner's heartbeats stopped and it does not answer,
+// and when the owner asks for it as it can't reach the store.
 //
 // A submission whose outcome is lost is resolved by reading. If the step is not
 // there, a row is written in the head's place, so that the delayed transaction
--- a/controller/use/use.go
+++ b/controller/use/use.go
@@ -2,7 +2,9 @@
 // that a team is served by what it has at all of them.
 //
 // An instance asks for it only while requests wait there, and the peer's answer
-// to the exchange brings it: without a queue nothing is sent.
+// to the exchange brings it: without a queue nothing is sent. Where instances only
+// share rows, each says in its own for which services requests wait there, and the
+// others then say in theirs what teams use of them.
 package use
 
 import (
