No model is left without engines because of its name

Two of its steps and one of another model's ran out of time, no stream of theirs broken: they waited for an engine.

Cause: loads went to the model with the fewest engines at its newest version, which moves every four seconds, so that all models often had none; then the first by name. Engines that steps still take did not count, nor did loads under way.

Now the next load is always of the model whose engines are worth least for its demand: two for the newest version or a load under way, one for the version before. Ruled out: refusals (none near), shares of engines (each model had its part), the duty (held).

TestNoModelIsLeftWithoutEngines, 24 engines, three models, three loads at a time: the last by name had no engine that its steps take for 3 s; now none for over 2 s.

--- a/controller/models/controller.go
+++ b/controller/models/controller.go
@@ -129,7 +129,7 @@
 	goal := Goal{Named: c.o.Named(), Demand: c.demand}
 	engines := enginesOf(v)
 	atOnce := max(len(engines)/loadShare, leastAtOnce)
-	for _, load := range Plan(engines, goal) {
+	for _, load := range Plan(engines, goal, c.given()) {
 		if loading >= atOnce {
 			return
 		}
@@ -146,6 +146,15 @@
 	}
 }
 
+// given counts the loads of each model that were ordered and don't show yet.
+func (c *Controller) given() map[string]int {
+	counts := map[string]int{}
+	for _, o := range c.ordered {
+		counts[o.load.Model]++
+	}
+	return counts
+}
+
 // settle forgets the orders that took effect, or took too long, and returns how
 // many are left.
 func (c *Controller) settle(v *view.View, now time.Duration) int {
--- a/controller/models/plan.go
+++ b/controller/models/plan.go
@@ -32,28 +32,69 @@
 	lag uint64
 }
 
-// Plan returns the loads that are due: those of the model with the fewest engines
-// at its version first, and of its engines those that are furthest behind.
-func Plan(engines []Engine, g Goal) []Load {
-	var loads []Load
-	ready := map[string]int{}
-	for model, share := range Shares(engines, g) {
+// Worth of an engine to its model: one at the named version, and one that is a
+// version behind, which steps still take. Others are worth nothing.
+const (
+	worthCurrent = 2
+	worthUsable  = 1
+)
+
+// Plan returns the loads that are due, in the order in which to give them: always one
+// of the model whose engines are worth least for its demand, and of its engines the
+// one that is furthest behind. Given counts the loads of each model under way.
+func Plan(engines []Engine, g Goal, given map[string]int) []Load {
+	shares := Shares(engines, g)
+	due := map[string][]Load{}
+	worth := map[string]float64{}
+	total := 0
+	for model, share := range shares {
+		worth[model] = float64(worthCurrent * given[model])
 		for _, e := range share {
 			behind := g.lag(e, model)
-			if behind == 0 {
-				ready[model]++
-				continue
+			worth[model] += worthOf(behind)
+			if behind > 0 {
+				due[model] = append(due[model], Load{Engine: e.Name, Model: model, Version: g.Named[model], lag: behind})
+				total++
 			}
-			loads = append(loads, Load{Engine: e.Name, Model: model, Version: g.Named[model], lag: behind})
 		}
+		slices.SortFunc(due[model], func(a, b Load) int {
+			return cmp.Or(cmp.Compare(b.lag, a.lag), cmp.Compare(a.Engine, b.Engine))
+		})
+	}
+	demand := g.demands(slices.Sorted(maps.Keys(shares)))
+	loads := make([]Load, 0, total)
+	for range total {
+		model := poorest(due, func(m string) float64 { return worth[m] / demand[m] })
+		next := due[model][0]
+		due[model] = due[model][1:]
+		worth[model] += worthCurrent - worthOf(next.lag)
+		loads = append(loads, next)
 	}
-	slices.SortFunc(loads, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(ready[a.Model], ready[b.Model]), cmp.Compare(a.Model, b.Model),
-			cmp.Compare(b.lag, a.lag), cmp.Compare(a.Engine, b.Engine))
-	})
 	return loads
 }
 
+// worthOf is the worth of an engine that is some versions behind.
+func worthOf(lag uint64) float64 {
+	switch lag {
+	case 0:
+		return worthCurrent
+	case 1:
+		return worthUsable
+	}
+	return 0
+}
+
+// poorest returns the model with a load due that has the least worth.
+func poorest(due map[string][]Load, worth func(model string) float64) string {
+	best := ""
+	for _, model := range slices.Sorted(maps.Keys(due)) {
+		if len(due[model]) > 0 && (best == "" || worth(model) < worth(best)) {
+			best = model
+		}
+	}
+	return best
+}
+
 // seatGain is by what factor an engine must have more work with one model than
 // it would have with another before it moves there: a move costs a load, and its
 // use until then.
--- a/controller/models/plan_test.go
+++ b/controller/models/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -29,7 +30,7 @@
 	for i := range 9 {
 		engines = append(engines, Engine{Name: fmt.Sprint("e", i), Weights: map[string]uint64{"a": 1, "b": 1, "c": 1}})
 	}
-	if loads := Plan(engines, Goal{Named: map[string]uint64{"b": 2}}); len(loads) != 3 {
+	if loads := Plan(engines, Goal{Named: map[string]uint64{"b": 2}}, nil); len(loads) != 3 {
 		t.Errorf("%d loads, want 3: %v", len(loads), loads)
 	}
 }
@@ -42,7 +43,7 @@
 		{Name: "e1", Weights: map[string]uint64{"a": 5}},
 		{Name: "e2", Weights: map[string]uint64{"a": 6}},
 	}
-	loads := Plan(engines, Goal{Named: map[string]uint64{"a": 7}})
+	loads := Plan(engines, Goal{Named: map[string]uint64{"a": 7}}, nil)
 	if len(loads) != 3 || loads[0].Engine != "e1" {
 		t.Errorf("loads %v, want e1 first", loads)
 	}
@@ -72,7 +73,7 @@
 			for _, m := range models {
 				g.Named[m]++
 			}
-			for _, l := range Plan(enginesFrom(weights), g) {
+			for _, l := range Plan(enginesFrom(weights), g, nil) {
 				weights[l.Engine][l.Model] = l.Version
 				loads++
 			}
@@ -97,3 +98,62 @@
 	}
 	return list
 }
+
+// TestNoModelIsLeftWithoutEngines: all engines are new, far behind, and few load at a
+// time, while all models go on being named. Each soon has engines that its steps
+// take, and keeps them.
+func TestNoModelIsLeftWithoutEngines(t *testing.T) {
+	const (
+		engines, atOnce = 24, 3
+		tick            = 100 * time.Millisecond
+		loadTime        = time.Second
+		nameEvery       = 4 * time.Second
+	)
+	models := []string{"a", "b", "c"}
+	weights := map[string]map[string]uint64{}
+	for i := range engines {
+		weights[fmt.Sprintf("e%02d", i)] = map[string]uint64{"a": 1, "b": 1, "c": 1}
+	}
+	g := Goal{Named: map[string]uint64{"a": 5, "b": 5, "c": 5}}
+	without := map[string]time.Duration{}
+	loading := map[string]Load{}
+	doneAt := map[string]time.Duration{}
+	for now := time.Duration(0); now < 40*time.Second; now += tick {
+		for i, m := range models {
+			if at := now - time.Duration(i)*time.Second; at > 0 && at%nameEvery == 0 {
+				g.Named[m]++
+			}
+		}
+		given := map[string]int{}
+		for e, l := range loading {
+			if now < doneAt[e] {
+				given[l.Model]++
+				continue
+			}
+			weights[e][l.Model] = l.Version
+			delete(loading, e)
+		}
+		for _, l := range Plan(enginesFrom(weights), g, given) {
+			if _, busy := loading[l.Engine]; !busy && len(loading) < atOnce {
+				loading[l.Engine] = l
+				doneAt[l.Engine] = now + loadTime
+			}
+		}
+		for _, m := range models {
+			usable := 0
+			for _, w := range weights {
+				if w[m]+1 >= g.Named[m] {
+					usable++
+				}
+			}
+			if usable == 0 {
+				without[m] += tick
+			}
+		}
+	}
+	for _, m := range models {
+		if without[m] > 2*loadTime {
+			t.Errorf("%s had no engine that its steps take for %v", m, without[m])
+		}
+	}
+}
