--- a/attempt/answer.go
+++ b/attempt/answer.go
@@ -25,6 +25,8 @@
 	call    *Call
 	ctx     context.Context
 	timer   *time.Timer
+	// handedOff is the boot time at which the request was handed off.
+	handedOff time.Duration
 	// timedOut is set when the timer has fired.
 	timedOut atomic.Bool
 	resp     *http.Response
--- a/attempt/call.go
+++ b/attempt/call.go
@@ -22,6 +22,8 @@
 	// Endpoint is the endpoint's name. It is passed to the function set with
 	// Pool.OnLeaving.
 	Endpoint string
+	// Kind is what the request is for, in metrics.
+	Kind string
 	// Addr is the endpoint's IP address and port, and Host the value of the
 	// Host header; empty means Addr.
 	Addr   string
@@ -72,7 +74,8 @@
 		p.put(c)
 		return nil, err
 	}
-	r := &Response{pool: p, dialect: p.opt.Dialect, conn: c, call: call, ctx: ctx}
+	p.ReportSend(call.Endpoint, call.Kind)
+	r := &Response{pool: p, dialect: p.opt.Dialect, conn: c, call: call, ctx: ctx, handedOff: p.opt.Clock.Now()}
 	r.timer = time.AfterFunc(call.FirstByteTimeout, r.timeOut)
 	if err := r.start(); err != nil {
 		r.Close()
@@ -95,6 +98,7 @@
 	if r.dialect.Leaving(resp.StatusCode, resp.Header) {
 		r.pool.ReportLeaving(r.call.Endpoint)
 	}
+	r.pool.ReportRateLimit(r.call.Endpoint, resp.StatusCode, resp.Header, r.handedOff)
 	r.Length = resp.ContentLength
 	if r.Length < 0 || r.Length > maxBufferedBody || r.call.Stream {
 		return nil
--- a/attempt/dialect.go
+++ b/attempt/dialect.go
@@ -23,6 +23,9 @@
 	// LeavingHeader is set in each response of an endpoint that is about to
 	// leave; empty means that endpoints do not report it.
 	LeavingHeader string
+	// RateLimitHeader names in each response the endpoint's limit on requests per
+	// second from all instances together; empty means that endpoints name none.
+	RateLimitHeader string
 	// PassHeaders forwards all headers in both directions, except hop-by-hop
 	// headers and, in requests, credentials. If it is not set, only headers on an
 	// allow list are forwarded.
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -54,6 +54,10 @@
 	hosts sync.Map // address to *host
 	// leavingFunc is called with the name of an endpoint that is about to leave.
 	leavingFunc func(endpoint string)
+	// rateLimitFunc is called for each answer of an endpoint, and sendFunc for
+	// each request that is handed off to one.
+	rateLimitFunc func(RateLimitAnswer)
+	sendFunc      func(endpoint, kind string)
 }
 
 // host contains the idle connections to one address.
@@ -105,6 +109,46 @@
 	}
 }
 
+// RateLimitAnswer is what a response says about the rate limit of its endpoint.
+type RateLimitAnswer struct {
+	Endpoint string
+	// Values are the values of Dialect.RateLimitHeader. There are none if the
+	// endpoint names no limit.
+	Values []string
+	// HandedOff is the boot time at which the request was handed off.
+	HandedOff time.Duration
+}
+
+// OnRateLimit sets the function that is called for each response of an endpoint,
+// also for those that name no limit. The call precedes the return of the response.
+// OnRateLimit must be called before the first attempt.
+func (p *Pool) OnRateLimit(f func(RateLimitAnswer)) { p.rateLimitFunc = f }
+
+// ReportRateLimit reports the header of a response that was not received through
+// the Pool, whose request was handed off at handedOff.
+func (p *Pool) ReportRateLimit(endpoint string, status int, h http.Header, handedOff time.Duration) {
+	d := p.opt.Dialect
+	misdirected := d.Strict && status == http.StatusMisdirectedRequest
+	if p.rateLimitFunc == nil || d.RateLimitHeader == "" || misdirected {
+		return
+	}
+	p.rateLimitFunc(RateLimitAnswer{Endpoint: endpoint, Values: h.Values(d.RateLimitHeader), HandedOff: handedOff})
+}
+
+// OnSend sets the function that is called when a request is handed off to an
+// endpoint. Kind is Call.Kind. OnSend must be called before the first attempt.
+func (p *Pool) OnSend(f func(endpoint, kind string)) { p.sendFunc = f }
+
+// ReportSend reports a request that is not sent through the Pool.
+func (p *Pool) ReportSend(endpoint, kind string) {
+	if p.sendFunc != nil {
+		p.sendFunc(endpoint, kind)
+	}
+}
+
+// Now returns the boot time by the Pool's clock.
+func (p *Pool) Now() time.Duration { return p.opt.Clock.Now() }
+
 // Dialect returns the dialect of the endpoints.
 func (p *Pool) Dialect() Dialect { return p.opt.Dialect }
 
--- /dev/null
+++ b/controller/ratelimits/doc.go
@@ -0,0 +1,2 @@
+// Package ratelimits keeps the rate limits that endpoints name in their answers.
+package ratelimits
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -336,6 +336,7 @@
 	}
 	return &attempt.Call{
 		Endpoint:         slot.Endpoint.Name,
+		Kind:             t.kind(),
 		Addr:             slot.Endpoint.Addr,
 		Host:             t.host(),
 		Method:           r.Method,
@@ -355,6 +356,17 @@
 	}
 }
 
+// kind returns what the attempt is for, in metrics.
+func (t *task) kind() string {
+	switch {
+	case t.r.Internal:
+		return "score"
+	case t.rec.Attempts() > 1:
+		return "retry"
+	}
+	return "request"
+}
+
 // host returns the Host header to send. Endpoints behind a route get the caller's
 // Host header; an empty string selects the endpoint's address.
 func (t *task) host() string {
--- a/filter/filter.go
+++ b/filter/filter.go
@@ -26,6 +26,8 @@
 	// service was selected without a route. With a route, Path is the full path
 	// of the request.
 	Route config.Route
+	// Internal is set for requests that the system itself sends for a step.
+	Internal bool
 	// Team and KeyDigest are set once the key has been checked. Both are empty
 	// for open services.
 	Team      string
--- a/filter/route.go
+++ b/filter/route.go
@@ -45,6 +45,7 @@
 		s.FirstByteTimeout = config.Duration(firstByteObjectiveFactor) * route.LatencyObjective
 	}
 	r.Route = route
+	r.Internal = f.Internal
 	r.Service = s
 	r.Path = r.URL.Path
 	timeout := time.Duration(route.Timeout)
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -16,6 +16,7 @@
 	"github.com/cumincove/cumincove/controller/leases"
 	"github.com/cumincove/cumincove/controller/models"
 	"github.com/cumincove/cumincove/controller/presence"
+	"github.com/cumincove/cumincove/controller/ratelimits"
 	"github.com/cumincove/cumincove/controller/scaling"
 	"github.com/cumincove/cumincove/controller/steps"
 	"github.com/cumincove/cumincove/controller/suspects"
@@ -106,6 +107,7 @@
 	revocations *filter.Revocations
 	suspects    *filter.Suspects
 	lossReports *suspects.Rows
+	rateLimits  *ratelimits.Controller
 
 	incarnation uint64
 	leaving     atomic.Bool
@@ -208,6 +210,9 @@
 	})
 	m.newSuspects()
 	m.deps.Pool.OnLeaving(m.markEndpointLeaving)
+	m.rateLimits = ratelimits.New(ratelimits.Options{Views: m.views, Clock: m.deps.Clock, Log: m.deps.Log, Scope: m.deps.Scope})
+	m.deps.Pool.OnRateLimit(m.rateLimits.HandleAnswer)
+	m.deps.Pool.OnSend(m.rateLimits.CountSend)
 }
 
 // markEndpointLeaving marks an endpoint as leaving because one of its responses
--- a/view/endpoint.go
+++ b/view/endpoint.go
@@ -69,6 +69,8 @@
 	Failed atomic.Uint64
 	// Reserved is set while the endpoint is reserved for a single request.
 	Reserved atomic.Bool
+	// RateLimited is set while the endpoint names a limit on requests per second.
+	RateLimited atomic.Bool
 }
 
 func (e *Endpoint) setLoad(l LoadReport) {
