--- a/code/table.go
+++ b/code/table.go
@@ -52,6 +52,7 @@
 	EndpointsExhausted Number = 3007
 	NoMatchingEndpoint Number = 3008
 	SelectionBusy      Number = 3009
+	EndpointLimits     Number = 3010
 
 	StepUnknown      Number = 4000
 	StepExists       Number = 4001
@@ -117,6 +118,7 @@
 	{EndpointsExhausted, "endpoints_exhausted", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "Every endpoint that was tried refused the request."},
 	{NoMatchingEndpoint, "no_matching_endpoint", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "No endpoint of the service reports the weight version or role that the request selects."},
 	{SelectionBusy, "selection_busy", http.StatusServiceUnavailable, NotRun, time.Second, "The endpoints that the request selects have no room, or other requests wait. Requests that only some endpoints can serve do not queue."},
+	{EndpointLimits, "endpoint_limits", http.StatusServiceUnavailable, NotRun, time.Second, "The endpoints of the service limit their requests a second, and no more may be sent there in the time left."},
 
 	{StepUnknown, "step_unknown", http.StatusNotFound, NotRun, 0, "No step has this ID."},
 	{StepExists, "step_exists", http.StatusConflict, NotRun, 0, "A step with this ID and other settings exists."},
--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -45,6 +45,10 @@
 	// OnChanges, if set, is called with all changes that are read, so that the
 	// feed can contain rows of other kinds, too.
 	OnChanges func(infra.Changes)
+	// OnMembers, if set, is called after each read that was started at readAt, with
+	// the names of the live instances that are not leaving. This instance is among
+	// them only if its own current row was read.
+	OnMembers func(readAt time.Duration, names []string)
 }
 
 // UsageReporter reports and receives the usage of services by teams.
@@ -187,6 +191,7 @@
 func (c *Controller) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	started := c.o.Clock.Now()
 	changes, err := c.o.Rows.Changes(ctx, c.next)
 	now := c.o.Clock.Now()
 	if err != nil {
@@ -200,9 +205,28 @@
 	}
 	c.observe(now)
 	c.publish(now)
+	if c.o.OnMembers != nil {
+		c.o.OnMembers(started, c.stayingMembers(now))
+	}
 	c.synced.Store(true)
 }
 
+// stayingMembers returns the names of the instances whose rows show that they are
+// alive and not leaving.
+func (c *Controller) stayingMembers(now time.Duration) []string {
+	var names []string
+	for name, s := range c.observed {
+		self := name == c.o.Self.Name
+		switch {
+		case now-s.since > c.o.Lapse, s.row.Leaving:
+		case self && (s.row.Incarnation != c.o.Self.Incarnation || c.o.Leaving()):
+		default:
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // observe records which rows changed, and passes the reports of changed rows on.
 // After a gap in the reads, every row counts as unchanged only since now, so that
 // no instance is declared down because of the gap.
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -37,6 +37,8 @@
 	Score   ScoreFunc
 	// IdleConnections returns the number of idle connections to an address.
 	IdleConnections func(addr string) int
+	// RateLimits issues permits for endpoints that limit their requests per second.
+	RateLimits RateLimits
 	// Handoff selects the instance that runs an accepted step.
 	Handoff Handoff
 	Views   *view.Store
--- a/controller/steps/handoff.go
+++ b/controller/steps/handoff.go
@@ -13,6 +13,7 @@
 	"github.com/cumincove/cumincove/durable"
 	"github.com/cumincove/cumincove/internal/pb/stepsv1"
 	"github.com/cumincove/cumincove/internal/pb/stepsv1/stepsv1connect"
+	"github.com/cumincove/cumincove/internal/rendezvous"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -86,7 +87,7 @@
 		}
 	}
 	instances := 1 + len(spec.Samples)/samplesPerInstance
-	return highestHash(fmt.Sprintf("%s/%s/%d", spec.Service, spec.Model, spec.Number%instances), names)
+	return rendezvous.Highest(fmt.Sprintf("%s/%s/%d", spec.Service, spec.Model, spec.Number%instances), names)
 }
 
 // Adopt implements Handoff.
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -130,8 +130,9 @@
 	}
 	actions := r.step.Tick(r.c.o.Clock.Now(), endpoints)
 	pause := tickPeriod
-	if r.step.Progress().Waiting > 0 {
+	if waiting := r.step.Progress().Waiting; waiting > 0 {
 		pause = waitingTickPeriod
+		r.c.requestPermits(endpoints, v, waiting)
 	}
 	for _, a := range actions {
 		r.perform(ctx, wg, v, a)
@@ -209,6 +210,7 @@
 		Body:      a.Sample.Body,
 		LastIndex: a.After,
 		Timeout:   time.Duration(r.spec.AbandonAfter-unixMillis()) * time.Millisecond,
+		Handoff:   func() error { return r.c.takePermit(e) },
 	}
 }
 
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -6,10 +6,9 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cumincove/cumincove/durable"
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/internal/rendezvous"
 	"github.com/cumincove/cumincove/view"
 )
 
@@ -201,18 +200,7 @@
 	for _, m := range members {
 		names = append(names, m.Name)
 	}
-	return highestHash(id, names)
-}
-
-// highestHash returns the name with the highest hash in combination with the ID
-// (rendezvous hashing). It returns "" if there are no names.
-func highestHash(id string, names []string) string {
-	if len(names) == 0 {
-		return ""
-	}
-	return slices.MaxFunc(names, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(id+"/"+a), xxhash.Sum64String(id+"/"+b))
-	})
+	return rendezvous.Highest(id, names)
 }
 
 // adopt runs a step that was accepted with this instance as its owner. No other
@@ -293,7 +281,7 @@
 		list = append(list, durable.Endpoint{
 			Name:            e.Name,
 			Version:         e.Weights[spec.Model],
-			FreeSlots:       e.Slots - inUse,
+			FreeSlots:       c.permitted(e, e.Slots-inUse),
 			Load:            float64(inUse) / float64(max(e.Slots, 1)),
 			IdleConnections: c.o.IdleConnections(e.Addr),
 		})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,9 @@
 	// IdleConnections returns the number of idle connections to an address; nil
 	// means that there are none.
 	IdleConnections func(addr string) int
+	// RateLimits issues permits for endpoints with a rate limit; nil means that no
+	// endpoint has one.
+	RateLimits RateLimits
 	// Random returns a uniform number in [0, n); nil means math/rand/v2.
 	Random func(n int) int
 }
@@ -54,6 +57,9 @@
 	if opt.IdleConnections == nil {
 		opt.IdleConnections = func(string) int { return 0 }
 	}
+	if opt.RateLimits == nil {
+		opt.RateLimits = noRateLimits{}
+	}
 	if opt.Scope == nil {
 		opt.Scope = tally.NoopScope
 	}
@@ -113,6 +119,9 @@
 	if eligible.count() < all.count() {
 		return nil, code.New(code.SelectionBusy, "service %q", w.Service)
 	}
+	if err := s.refuseByLimits(eligible, w); err != nil {
+		return nil, err
+	}
 	slot, err := s.wait(ctx, w)
 	if err == nil {
 		slot.recordPrompt()
--- a/dispatch/endpoint.go
+++ b/dispatch/endpoint.go
@@ -133,6 +133,7 @@
 	// capacity.
 	preferredPositions []int
 	margin             float64
+	limits             limitFilter
 }
 
 // choose returns the position of an endpoint with room, or -1 if there is none.
@@ -151,7 +152,8 @@
 func (c *candidates) At(i int) route.Candidate {
 	e := c.list[i]
 	st := c.d.endpoint(e)
-	usable := e.Name != c.work.Avoid && !st.stats.Reserved.Load() && int64(c.now) >= st.ejectedUntil.Load()
+	usable := e.Name != c.work.Avoid && !st.stats.Reserved.Load() && int64(c.now) >= st.ejectedUntil.Load() &&
+		c.limits.allows(e, c.d.opt.RateLimits)
 	report := st.report(e, c.now)
 	report.Peers, report.MeanDuration = c.peers, c.meanWork
 	return route.Candidate{
--- a/dispatch/isolated.go
+++ b/dispatch/isolated.go
@@ -120,8 +120,14 @@
 	now := int64(s.d.opt.Clock.Now())
 	var best *Slot
 	bestScore := int64(math.MaxInt64)
+	if limited := idx.limitedNames(); len(limited) > 0 {
+		s.d.opt.RateLimits.Request(1, limited)
+	}
 	for _, e := range slices.Concat(idx.local, idx.remote) {
 		st := s.d.endpoint(e)
+		if !anyEndpoint.allows(e, s.d.opt.RateLimits) {
+			continue
+		}
 		score := st.stats.InFlight.Load()
 		if e.Name == w.Avoid || now < st.ejectedUntil.Load() {
 			score += lastResortPenalty
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -93,20 +93,32 @@
 // reserve takes a slot at an endpoint with room. It returns nil if there is none.
 func (s *service) reserve(w Work) *Slot {
 	idx := s.index(s.d.opt.Views.Load()).matching(w.Requirements)
+	var slot *Slot
+	if s.d.opt.RateLimits.Any() {
+		slot = s.reserveWithLimits(idx, w)
+	} else {
+		slot = s.reserveFrom(idx, w, anyEndpoint)
+	}
+	if slot == nil && w.Avoid != "" {
+		w.Avoid = ""
+		return s.reserve(w)
+	}
+	return slot
+}
+
+// reserveFrom takes a slot at an endpoint that the filter allows, preferably in
+// this data centre.
+func (s *service) reserveFrom(idx *index, w Work, f limitFilter) *Slot {
 	peers := len(idx.view.Members)
 	now := s.d.opt.Clock.Now()
 	for _, list := range [][]*view.Endpoint{idx.local, idx.remote} {
-		c := &candidates{d: s.d, list: list, work: w, now: now, peers: peers, meanWork: s.meanWorkTime()}
+		c := &candidates{d: s.d, list: list, work: w, now: now, peers: peers, meanWork: s.meanWorkTime(), limits: f}
 		idx.preferCached(c)
 		c.preferWarm()
 		if slot := s.acquireFrom(c); slot != nil {
 			return slot
 		}
 	}
-	if w.Avoid != "" {
-		w.Avoid = ""
-		return s.reserve(w)
-	}
 	return nil
 }
 
@@ -120,9 +132,15 @@
 		}
 		e := c.list[i]
 		st := s.d.endpoint(e)
-		if st.acquireSlot() {
-			return &Slot{Endpoint: e, s: s, st: st, work: c.work, acquiredAt: c.now}
+		if !st.acquireSlot() {
+			continue
+		}
+		until, ok := s.takePermit(e)
+		if ok {
+			return &Slot{Endpoint: e, s: s, st: st, work: c.work, acquiredAt: c.now, permitUntil: until}
 		}
+		st.ownInFlight.Add(-1)
+		st.uncountStarted()
 	}
 	return nil
 }
--- a/dispatch/slot.go
+++ b/dispatch/slot.go
@@ -51,6 +51,9 @@
 	// match is the part of the prompt that was estimated to be in the endpoint's
 	// prefix cache.
 	match prefix.Match
+	// permitUntil is when the permit for an endpoint with a rate limit expires; zero
+	// without a permit.
+	permitUntil time.Duration
 }
 
 // RecordFirstByte records that the response has started. Latency is measured up to
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -301,6 +301,9 @@
 // retryable reports whether an attempt at another endpoint may succeed after err.
 // It returns false once the request itself has been stopped.
 func (t *task) retryable(err error) bool {
+	if asCode(err).Number == code.EndpointLimits {
+		return t.ctx.Err() == nil
+	}
 	result := t.resultOf(err)
 	return result == dispatch.Failed || result == dispatch.Absent
 }
@@ -396,6 +399,9 @@
 	if err := t.stillAllowed(); err != nil {
 		return err
 	}
+	if !slot.MaySend() {
+		return code.New(code.EndpointLimits, "endpoint %s", slot.Endpoint.Name)
+	}
 	if by := t.r.SendBy; by > 0 && t.a.Clock.Now() > by {
 		return code.New(code.DeadlineTooNear, "the request's ID is not held any more")
 	}
--- a/infra/engines.go
+++ b/infra/engines.go
@@ -48,6 +48,9 @@
 	LastIndex int
 	// Timeout is the time limit for the engine.
 	Timeout time.Duration
+	// Handoff, if set, is called before the first byte can be sent. An error ends
+	// the request with ErrNotRun.
+	Handoff func() error
 }
 
 // Event is one event of a sample's stream.
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -135,8 +135,12 @@
 		},
 		Period: time.Duration(s.Timing.MemberPeriod), Lapse: time.Duration(s.Timing.MemberLapse),
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
-		Usage:     &teamusage.Controller{Queues: m.dispatcher},
-		OnChanges: m.lossReports.HandleChanges,
+		Usage: &teamusage.Controller{Queues: m.dispatcher},
+		OnChanges: func(changes infra.Changes) {
+			m.lossReports.HandleChanges(changes)
+			m.rateLimits.HandleChanges(changes)
+		},
+		OnMembers: m.rateLimits.SetMembers,
 	})
 	m.leaseManager = leases.NewManager(leases.Options{
 		Tables: deps.Platform.SystemTables, Clock: deps.Clock, Holder: s.Name, Incarnation: m.incarnation,
@@ -161,9 +165,9 @@
 	})
 	m.steps = steps.New(steps.Options{
 		Steps: deps.Platform.Steps, Shared: deps.Platform.SystemTables.Part(demandPart), Engines: deps.Platform.Engines, Score: m.scoreFunc(),
-		IdleConnections: m.deps.Pool.IdleConns,
-		Handoff:         steps.HandoffByModel{Peers: m.peerClient()},
-		Views:           m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
+		IdleConnections: m.deps.Pool.IdleConns, RateLimits: m.rateLimits,
+		Handoff: steps.HandoffByModel{Peers: m.peerClient()},
+		Views:   m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: s.Name, Incarnation: m.incarnation, MembersSynced: m.presence.Synced,
 		StoreUnavailable: m.storeUnavailable,
 	})
@@ -199,20 +203,23 @@
 
 // newRequestPath creates the components that the filter chains use.
 func (m *Managed) newRequestPath() {
+	m.rateLimits = ratelimits.New(ratelimits.Options{
+		Tables: m.deps.Platform.Members, Peers: m.peerClient(), Views: m.views, Clock: m.deps.Clock,
+		Log: m.deps.Log, Scope: m.deps.Scope, Self: m.deps.Settings.Name,
+	})
 	m.dispatcher = dispatch.New(dispatch.Options{
 		Views: m.views, Clock: m.deps.Clock, Log: m.deps.Log, Scope: m.deps.Scope,
 		DataCentre: m.deps.Settings.DataCentre,
 		Queue:      fairqueue.DefaultOptions(), Limit: limit.DefaultOptions(),
-		IdleConnections: m.deps.Pool.IdleConns,
+		IdleConnections: m.deps.Pool.IdleConns, RateLimits: m.rateLimits,
 	})
 	m.revocations = filter.NewRevocations(filter.RevocationsOptions{
 		Views: m.views, Freshness: m.intent, Clock: m.deps.Clock,
 	})
 	m.newSuspects()
 	m.deps.Pool.OnLeaving(m.markEndpointLeaving)
-	m.rateLimits = ratelimits.New(ratelimits.Options{Views: m.views, Clock: m.deps.Clock, Log: m.deps.Log, Scope: m.deps.Scope})
 	m.deps.Pool.OnRateLimit(m.rateLimits.HandleAnswer)
-	m.deps.Pool.OnSend(m.rateLimits.CountSend)
+	m.deps.Pool.OnSend(m.rateLimits.HandleSend)
 }
 
 // markEndpointLeaving marks an endpoint as leaving because one of its responses
@@ -258,6 +265,7 @@
 		m.revocations,
 		m.suspects,
 		m.lossReports,
+		m.rateLimits,
 		gauges{m},
 	}
 }
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -71,6 +71,7 @@
 func (m *Managed) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(m.steps.PeerHandler())
+	mux.Handle(m.rateLimits.PeerHandler())
 	return mux
 }
 
