--- a/controller/ratelimits/controller.go
+++ b/controller/ratelimits/controller.go
@@ -108,22 +108,34 @@
 	if !changed {
 		return
 	}
-	c.recordChange(a.Endpoint, l, "answer")
+	c.recordChange(a.Endpoint, l, sourceAnswer)
 	c.rows.write(a.Endpoint, l)
 	wake(c.wakeRows)
 }
 
+// Sources of a change of a limit.
+const (
+	sourceAnswer = "answer"
+	sourceRow    = "row"
+)
+
 // recordChange logs and counts a change of an endpoint's limit, and marks the
-// endpoint. The caller must hold mu.
+// endpoint. Changes that were read as rows are logged by the instance that wrote
+// the row. The caller must hold mu.
 func (c *Controller) recordChange(endpoint string, l ratelimit.Limit, source string) {
 	c.markEndpoint(endpoint)
 	c.limited.Store(int64(c.node.Len()))
+	level := slog.LevelInfo
+	if source == sourceRow {
+		level = slog.LevelDebug
+	}
+	log := c.o.Log.With("endpoint", endpoint, "incarnation", l.Incarnation, "source", source)
 	if l.Rate == 0 {
-		c.o.Log.Info("endpoint names no rate limit any more", "endpoint", endpoint, "incarnation", l.Incarnation, "source", source)
+		log.Log(context.Background(), level, "endpoint names no rate limit any more")
 		return
 	}
 	c.o.Scope.Tagged(map[string]string{"source": source}).Counter("endpoint_limits_named").Inc(1)
-	c.o.Log.Info("endpoint names a rate limit", "endpoint", endpoint, "incarnation", l.Incarnation, "per_second", l.Rate, "source", source)
+	log.Log(context.Background(), level, "endpoint names a rate limit", "per_second", l.Rate)
 }
 
 // mark marks the endpoints in the snapshot that have a limit. An endpoint may be
--- a/controller/ratelimits/rows.go
+++ b/controller/ratelimits/rows.go
@@ -94,7 +94,7 @@
 		l.Incarnation = old.Incarnation
 	}
 	if (stored || l.Rate > 0) && c.node.HandlePeer(now, endpoint, l) {
-		c.recordChange(endpoint, l, "row")
+		c.recordChange(endpoint, l, sourceRow)
 	}
 }
 
