What the limits of all endpoints do not allow is refused at once

Cause: a request that found no permit waited for the next one, in competition with all other instances, and the queue's estimate of the wait is about this instance only. Ruled out: the estimate itself; the first request of an empty queue has nothing ahead of it.

Fix: coordinators schedule permits up to a second ahead instead of half a second, so an answer says for sure whether a request is served in that time; while all endpoints are full, requests that exceed the permits that are coming are refused, at arrival or after the ask's answer. The delay before a new coordinator begins grows by the longer time for which permits are valid.

--- a/controller/ratelimits/controller.go
+++ b/controller/ratelimits/controller.go
@@ -220,7 +220,16 @@
 	return name
 }
 
-// Wait returns the time until a permit of any of the endpoints may be had.
+// Coming returns the number of permits for the endpoints that are valid, will be, or
+// were asked for.
+func (c *Controller) Coming(endpoints []string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.Coming(c.o.Clock.Now(), endpoints)
+}
+
+// Wait returns the time until a further permit of any of the endpoints may be
+// issued. It is zero as long as that is not known.
 func (c *Controller) Wait(endpoints []string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -23,7 +23,11 @@
 	// Recheck returns one of the endpoints that must get the next request although
 	// others have no limit, or an empty string.
 	Recheck(endpoints []string) string
-	// Wait returns the time until a permit of any of the endpoints may be had.
+	// Coming returns the number of permits for the endpoints that are valid, will
+	// be, or were asked for.
+	Coming(endpoints []string) int
+	// Wait returns the time until a further permit of any of the endpoints may be
+	// issued. It is zero as long as that is not known.
 	Wait(endpoints []string) time.Duration
 }
 
@@ -34,6 +38,7 @@
 func (noRateLimits) Usable(string) int                 { return 0 }
 func (noRateLimits) Take(string) (time.Duration, bool) { return 0, false }
 func (noRateLimits) Request(int, []string)             {}
+func (noRateLimits) Coming([]string) int               { return 0 }
 func (noRateLimits) Recheck([]string) string           { return "" }
 func (noRateLimits) Wait([]string) time.Duration       { return 0 }
 
@@ -116,22 +121,39 @@
 	return s.d.opt.RateLimits.Take(e.Name)
 }
 
-// refuseByLimits returns an error if all endpoints have rate limits and no permit
-// may be had before the deadline.
-func (s *service) refuseByLimits(idx *index, w Work) error {
+// permitCheckPeriod is the time between two checks whether there are permits for all
+// waiting requests. An ask for a permit is answered within it.
+const permitCheckPeriod = 50 * time.Millisecond
+
+// permitChecks returns a channel that receives a value each permitCheckPeriod if any
+// endpoint has a rate limit, and never otherwise.
+func (s *service) permitChecks() (c <-chan time.Time, stop func()) {
 	if !s.d.opt.RateLimits.Any() {
+		return nil, func() {}
+	}
+	t := time.NewTicker(permitCheckPeriod)
+	return t.C, t.Stop
+}
+
+// refuseByLimits returns an error if all endpoints of the service have rate limits
+// and there is no permit for one more of the waiting requests. Waiting is their
+// number, this one included.
+func (s *service) refuseByLimits(w Work, waiting int) error {
+	limits := s.d.opt.RateLimits
+	if !limits.Any() {
 		return nil
 	}
+	idx := s.index(s.d.opt.Views.Load()).matching(w.Requirements)
 	limited := idx.limitedNames()
-	if len(limited) < idx.count() {
+	if len(limited) == 0 || len(limited) < idx.count() {
 		return nil
 	}
-	wait := s.d.opt.RateLimits.Wait(limited)
-	if s.d.opt.Clock.Now()+wait < w.Deadline {
+	wait := limits.Wait(limited)
+	if wait == 0 || limits.Coming(limited) >= waiting {
 		return nil
 	}
 	err := code.New(code.EndpointLimits, "service %q: next permit in %v", s.name, wait.Round(time.Millisecond))
-	err.RetryAfter = min(wait+rand.N(wait+1), maxRetryAfter) // spreads the callers
+	err.RetryAfter = min(minRetryAfter+rand.N(minRetryAfter+wait), maxRetryAfter) // spreads the callers
 	return err
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -160,27 +160,42 @@
 	if err != nil {
 		return nil, refusal(w, err)
 	}
-	select {
-	case slot, ok := <-wt.slot:
-		if !ok {
+	check, stop := s.permitChecks()
+	defer stop()
+	for {
+		select {
+		case slot, ok := <-wt.slot:
+			if !ok {
+				return nil, waitError(ctx)
+			}
+			slot.item = it
+			return slot, nil
+		case <-check:
+			err := s.refuseByLimits(w, int(s.waiting.Load()))
+			if err != nil && s.cancelWaiting(it) {
+				return nil, err
+			}
+		case <-ctx.Done():
+			s.cancel(it, wt)
 			return nil, waitError(ctx)
 		}
-		slot.item = it
-		return slot, nil
-	case <-ctx.Done():
-		s.cancel(it, wt)
-		return nil, waitError(ctx)
 	}
 }
 
-// cancel removes work from the queue, or releases the slot that it was assigned
-// in the meantime.
-func (s *service) cancel(it *fairqueue.Item, wt *waiter) {
+// cancelWaiting removes work from the queue. It returns false if the work is not
+// waiting any more.
+func (s *service) cancelWaiting(it *fairqueue.Item) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	cancelled := s.queue.Cancel(s.d.opt.Clock.Now(), it)
 	s.waiting.Store(int64(s.queue.ClassLen(fairqueue.Interactive)))
-	s.mu.Unlock()
-	if cancelled {
+	return cancelled
+}
+
+// cancel removes work from the queue, or releases the slot that it was assigned
+// in the meantime.
+func (s *service) cancel(it *fairqueue.Item, wt *waiter) {
+	if s.cancelWaiting(it) {
 		return
 	}
 	slot := <-wt.slot
--- a/ratelimit/holding.go
+++ b/ratelimit/holding.go
@@ -7,8 +7,9 @@
 	permitLifetime = 500 * time.Millisecond
 	// recheckLifetime is how long a permit for a recheck is valid, see Node.Recheck.
 	recheckLifetime = 2 * time.Second
-	// maxWait is how far ahead permits are scheduled.
-	maxWait = 500 * time.Millisecond
+	// maxWait is how far ahead permits are scheduled. A request for which there is
+	// none in that time need not wait for its deadline to be refused.
+	maxWait = time.Second
 	// retryDelay is the time until the coordinator is asked again after it did not
 	// answer, or was not the coordinator.
 	retryDelay = 250 * time.Millisecond
@@ -70,10 +71,5 @@
 	return until, true
 }
 
-// wait returns the time until the instance may have a permit for a further request.
-func (h *holding) wait(now time.Duration) time.Duration {
-	if h.usable(now) > 0 {
-		return 0
-	}
-	return max(h.fullUntil-now, 0)
-}
+// wait returns the time until the instance may be issued a further permit.
+func (h *holding) wait(now time.Duration) time.Duration { return max(h.fullUntil-now, 0) }
--- a/ratelimit/node.go
+++ b/ratelimit/node.go
@@ -93,10 +93,9 @@
 // less those that are held or asked for. It reports whether it asked for any.
 func (n *Node) Request(now time.Duration, count int, endpoints []string) bool {
 	var free []string
+	count -= n.Coming(now, endpoints)
 	for _, name := range endpoints {
 		h := n.holding(name)
-		h.expire(now)
-		count -= len(h.permits) + h.asked
 		if h.asked == 0 && h.fullUntil <= now {
 			free = append(free, name)
 		}
@@ -228,7 +227,20 @@
 	h.fullUntil = max(h.fullUntil, now+retryDelay)
 }
 
-// Wait returns the time until a permit of any of the endpoints may be had.
+// Coming returns the number of permits for the endpoints that are valid, will be, or
+// were asked for.
+func (n *Node) Coming(now time.Duration, endpoints []string) int {
+	coming := 0
+	for _, name := range endpoints {
+		h := n.holding(name)
+		h.expire(now)
+		coming += len(h.permits) + h.asked
+	}
+	return coming
+}
+
+// Wait returns the time until a further permit of any of the endpoints may be
+// issued. It is zero as long as that is not known.
 func (n *Node) Wait(now time.Duration, endpoints []string) time.Duration {
 	if len(endpoints) == 0 {
 		return 0
--- a/ratelimit/office.go
+++ b/ratelimit/office.go
@@ -12,9 +12,9 @@
 	// coordinates.
 	maxMembersAge = 2500 * time.Millisecond
 	// takeoverDelay is how long an instance must have been the selected one before
-	// it coordinates. It exceeds maxMembersAge by the time that one read of the
-	// list may take, and by the drift of clocks.
-	takeoverDelay = maxMembersAge + 1500*time.Millisecond
+	// it coordinates. It exceeds maxMembersAge by the time for which the permits of
+	// an earlier coordinator may be valid, and by the drift of clocks.
+	takeoverDelay = maxMembersAge + maxWait + permitLifetime + 500*time.Millisecond
 )
 
 // office decides which endpoints an instance coordinates.
