Usage: a new holder waits for flushes only after an outage that it observed

Cause: without StoreAvailableFor (instances on a platform with its own operators' API) the time since this instance got the duty stood for the time since an outage, so every takeover waited two flushes more. 4 s for the lease, 2 s and up to a flush's tick exceed the 10 s when the cut falls on a window's close. Ruled out: lost calls (there are none in the test), the lease's takeover time (the same at the other offsets).

Fix: the calls for the lease, which candidates make too, tell how long the table has been available. After an outage of the table that time starts at the first answer, so the wait for the other instances' totals is as long as before.

--- a/controller/leases/leases_test.go
+++ b/controller/leases/leases_test.go
@@ -263,3 +263,32 @@
 		}
 	})
 }
+
+// TestAvailableForStartsAtTheEndOfAnOutage checks that holders and candidates
+// observe an outage of the lease's table.
+func TestAvailableForStartsAtTheEndOfAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const duration = 3 * time.Second
+		s := start(t, 2, leases.Options{Duration: duration})
+		defer s.stopAll()
+		for _, in := range s.instances {
+			if got := in.runner.AvailableFor(); got < duration {
+				t.Errorf("%s: available for %v before the outage", in.name, got)
+			}
+			in.table.off.Store(true)
+		}
+		time.Sleep(2 * duration)
+		for _, in := range s.instances {
+			if got := in.runner.AvailableFor(); got != 0 {
+				t.Errorf("%s: available for %v during the outage", in.name, got)
+			}
+			in.table.off.Store(false)
+		}
+		time.Sleep(duration)
+		for _, in := range s.instances {
+			if got := in.runner.AvailableFor(); got <= 0 || got > duration {
+				t.Errorf("%s: available for %v, %v after the outage", in.name, got, duration)
+			}
+		}
+	})
+}
--- a/controller/leases/runner.go
+++ b/controller/leases/runner.go
@@ -80,6 +80,10 @@
 	machine *lease.Machine
 	role    Role
 	epoch   uint64 // of the last logged term, or 0 after its end
+	// availableSince is when a call succeeded after one that failed, or when the
+	// Runner was made. It is only valid while unavailable is false.
+	availableSince time.Duration
+	unavailable    bool
 
 	acquired tally.Counter
 	failed   tally.Counter
@@ -100,6 +104,8 @@
 		wake:  make(chan struct{}, 1),
 		guard: lease.NewGuard(o.Clock.Now, o.margin()),
 		log:   o.Log.With("duty", d.String()),
+
+		availableSince: o.Clock.Now(),
 		machine: lease.New(lease.Config{
 			Holder:            o.Holder,
 			Incarnation:       o.Incarnation,
@@ -130,6 +136,28 @@
 	return err == nil
 }
 
+// AvailableFor returns how long the lease's table has been available to this
+// instance without an outage, as the calls for the lease showed. It is zero after a
+// call that failed.
+func (r *Runner) AvailableFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unavailable {
+		return 0
+	}
+	return r.o.Clock.Now() - r.availableSince
+}
+
+// recordAvailability records whether a call for the lease got an answer.
+func (r *Runner) recordAvailability(answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered && r.unavailable {
+		r.availableSince = r.o.Clock.Now()
+	}
+	r.unavailable = !answered
+}
+
 // Role is the role of an instance in a duty.
 type Role struct {
 	// Candidate reports whether to acquire and keep the lease.
@@ -280,6 +308,8 @@
 
 func (r *Runner) read(ctx context.Context) lease.Event {
 	got, err := r.o.Table.Get(ctx, r.duty.Key())
+	answered := err == nil || errors.Is(err, infra.ErrNotFound)
+	r.recordAvailability(answered)
 	if errors.Is(err, infra.ErrNotFound) {
 		return lease.ReadDone{}
 	}
@@ -309,7 +339,9 @@
 	err = r.o.Table.Commit(ctx, ops...)
 	r.written.Record(r.o.Clock.Now() - start)
 	o := infra.EffectOf(err)
-	if o == effect.None || o == effect.Unknown {
+	failed := o == effect.None || o == effect.Unknown
+	r.recordAvailability(!failed)
+	if failed {
 		r.recordFailure("write", err)
 	}
 	return o
--- a/controller/usage/controller.go
+++ b/controller/usage/controller.go
@@ -39,8 +39,7 @@
 	// Flush is the period between two writes of this instance's totals.
 	Flush time.Duration
 	// StoreAvailableFor, if set, returns how long the store has been available to
-	// this instance without an outage. If nil, the time since this instance got
-	// the duty is used.
+	// this instance without an outage. If nil, the calls for the duty's lease tell.
 	StoreAvailableFor func() time.Duration
 	// Grace is how long after its end a window is closed. Zero means the time of
 	// two flushes and one second.
@@ -59,10 +58,6 @@
 	sealer  *window.Sealer
 	duty    *leases.Runner
 	sent    sentWindows
-	// epoch is the epoch of the last term in which this instance held the duty,
-	// and since is when it first observed that term.
-	epoch uint64
-	since time.Time
 
 	unwritten tally.Gauge
 	lost      tally.Gauge
--- a/controller/usage/seal.go
+++ b/controller/usage/seal.go
@@ -14,14 +14,9 @@
 
 // seal closes, freezes and reports windows if this instance holds the duty.
 func (c *Controller) seal(ctx context.Context) {
-	term, err := c.duty.Guard().Term()
-	if err != nil {
+	if !c.duty.Holds() {
 		return
 	}
-	if c.epoch != term.Epoch {
-		c.epoch = term.Epoch
-		c.since = time.Now()
-	}
 	// After an outage, wait until the instances have written their totals, which
 	// would otherwise be late.
 	if c.availableFor() < 2*c.o.Flush {
@@ -38,12 +33,12 @@
 }
 
 // availableFor returns the time since the last outage that this instance
-// observed, or since it got the duty; see Options.StoreAvailableFor.
+// observed; see Options.StoreAvailableFor.
 func (c *Controller) availableFor() time.Duration {
 	if c.o.StoreAvailableFor != nil {
 		return c.o.StoreAvailableFor()
 	}
-	return time.Since(c.since)
+	return c.duty.AvailableFor()
 }
 
 func (c *Controller) sealCall(ctx context.Context, a any) any {
