Peer connections: a closed connection gets no request any more

Cause: peerConns.drop closes the connection under a transport, which hands it out once more until its read loop has seen the end. That exchange fails with 'use of closed network connection' and is repeated over HTTP/1.1.

Fix: each connection has a transport of its own, which goes with it.

--- a/controller/membership/connections.go
+++ b/controller/membership/connections.go
@@ -13,7 +13,8 @@
 // peerConns manages the connections to peers: one HTTP/2 connection for each
 // address. Compression makes the headers short after the first request on a
 // connection. Unresponsive connections are closed with drop, since the HTTP/2
-// transport would continue to use them.
+// transport would continue to use them. Each connection has a transport of its own,
+// because a transport may use a closed connection once more before it notices.
 type peerConns struct {
 	dial   dialFunc
 	client *http.Client
@@ -21,8 +22,9 @@
 	// program supports, on a new connection.
 	retry *http.Client
 
-	mu    sync.Mutex
-	conns map[string]*peerConn // the newest connection by address
+	mu         sync.Mutex
+	conns      map[string]*peerConn       // the newest connection by address
+	transports map[string]*http.Transport // that of the newest connection, by address
 }
 
 // peerConn is a connection that is removed from peerConns when it is closed.
@@ -33,20 +35,42 @@
 }
 
 func newPeerConns(dial, dialHTTP1 dialFunc) *peerConns {
-	c := &peerConns{dial: dial, conns: make(map[string]*peerConn)}
+	c := &peerConns{dial: dial, conns: make(map[string]*peerConn), transports: make(map[string]*http.Transport)}
 	if c.dial == nil {
 		c.dial = (&net.Dialer{}).DialContext
 	}
-	p := &http.Protocols{}
-	p.SetUnencryptedHTTP2(true) // TLS, if any, is done by dial and not by the transport
-	c.client = &http.Client{Transport: &http.Transport{DialContext: c.open, IdleConnTimeout: idleTimeout, Protocols: p}}
+	c.client = &http.Client{Transport: c}
 	c.retry = &http.Client{Transport: &http.Transport{DialContext: dialHTTP1, DisableKeepAlives: true}}
 	return c
 }
 
+// RoundTrip sends a request over the HTTP/2 connection to its address.
+func (c *peerConns) RoundTrip(r *http.Request) (*http.Response, error) {
+	return c.transport(r.URL.Host).RoundTrip(r)
+}
+
+// transport returns the transport for an address.
+func (c *peerConns) transport(addr string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.transports[addr]
+	if t == nil {
+		p := &http.Protocols{}
+		p.SetUnencryptedHTTP2(true) // TLS, if any, is done by dial and not by the transport
+		t = &http.Transport{DialContext: c.open, IdleConnTimeout: idleTimeout, Protocols: p}
+		c.transports[addr] = t
+	}
+	return t
+}
+
 func (c *peerConns) open(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := c.dial(ctx, network, addr)
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.conns[addr] == nil {
+			delete(c.transports, addr)
+		}
 		return nil, err
 	}
 	pc := &peerConn{Conn: conn, all: c, addr: addr}
@@ -56,11 +80,12 @@
 	return pc, nil
 }
 
-// Close closes the connection and removes it from peerConns.
+// Close closes the connection and removes it and its transport from peerConns.
 func (pc *peerConn) Close() error {
 	pc.all.mu.Lock()
 	if pc.all.conns[pc.addr] == pc {
 		delete(pc.all.conns, pc.addr)
+		delete(pc.all.transports, pc.addr)
 	}
 	pc.all.mu.Unlock()
 	return pc.Conn.Close()
