Limits: kept while an entry is missing, one budget for each incarnation, samples asked for together

Steps ask for all waiting samples. The kinds of requests are typed; steps and limits share one client for their peers.

--- a/attempt/call.go
+++ b/attempt/call.go
@@ -17,13 +17,25 @@
 // and a truncated response can be requested again.
 const maxBufferedBody = 64 << 10
 
+// Kind is what a request to an endpoint is for. It is the value of a metric's tag.
+type Kind string
+
+// The kinds of requests.
+const (
+	KindRequest Kind = "request" // the first attempt of a caller's request
+	KindRetry   Kind = "retry"   // a later attempt
+	KindScore   Kind = "score"   // a call to a scoring service
+	KindSample  Kind = "sample"  // the generation of a sample
+	KindControl Kind = "control" // a report or an order, which needs no permit
+)
+
 // Call is one attempt of a request at one endpoint.
 type Call struct {
 	// Endpoint is the endpoint's name. It is passed to the function set with
 	// Pool.OnLeaving.
 	Endpoint string
-	// Kind is what the request is for, in metrics.
-	Kind string
+	// Kind is what the request is for.
+	Kind Kind
 	// Addr is the endpoint's IP address and port, and Host the value of the
 	// Host header; empty means Addr.
 	Addr   string
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -57,7 +57,7 @@
 	// rateLimitFunc is called for each answer of an endpoint, and sendFunc for
 	// each request that is handed off to one.
 	rateLimitFunc func(RateLimitAnswer)
-	sendFunc      func(endpoint, kind string)
+	sendFunc      func(endpoint string, kind Kind)
 }
 
 // host contains the idle connections to one address.
@@ -136,11 +136,11 @@
 }
 
 // OnSend sets the function that is called when a request is handed off to an
-// endpoint. Kind is Call.Kind. OnSend must be called before the first attempt.
-func (p *Pool) OnSend(f func(endpoint, kind string)) { p.sendFunc = f }
+// endpoint. OnSend must be called before the first attempt.
+func (p *Pool) OnSend(f func(endpoint string, kind Kind)) { p.sendFunc = f }
 
 // ReportSend reports a request that is not sent through the Pool.
-func (p *Pool) ReportSend(endpoint, kind string) {
+func (p *Pool) ReportSend(endpoint string, kind Kind) {
 	if p.sendFunc != nil {
 		p.sendFunc(endpoint, kind)
 	}
--- a/controller/ratelimits/controller.go
+++ b/controller/ratelimits/controller.go
@@ -18,10 +18,6 @@
 	"github.com/cumincove/cumincove/view"
 )
 
-// KindControl is the kind of requests, in Controller.HandleSend, that are sent
-// without a permit and are charged afterwards.
-const KindControl = "control"
-
 // sweepPeriod is the time between two removals of unused state.
 const sweepPeriod = 10 * time.Second
 
@@ -160,9 +156,9 @@
 	e.Stats.RateLimited.Store(limited)
 }
 
-// HandleSend counts a request that is handed off to an endpoint with a limit. Kind
-// is what the request is for.
-func (c *Controller) HandleSend(endpoint, kind string) {
+// HandleSend counts a request that is handed off to an endpoint with a limit. It
+// charges those that are sent without a permit.
+func (c *Controller) HandleSend(endpoint string, kind attempt.Kind) {
 	if !c.Any() {
 		return
 	}
@@ -170,8 +166,8 @@
 	if !ok || !e.Stats.RateLimited.Load() {
 		return
 	}
-	c.o.Scope.Tagged(map[string]string{"kind": kind}).Counter("sends_to_limited_endpoints").Inc(1)
-	if kind != KindControl {
+	c.o.Scope.Tagged(map[string]string{"kind": string(kind)}).Counter("sends_to_limited_endpoints").Inc(1)
+	if kind != attempt.KindControl {
 		return
 	}
 	c.mu.Lock()
@@ -246,7 +242,7 @@
 	})
 	c.limited.Store(int64(c.node.Len()))
 	for name := range c.rows.stored {
-		if _, ok := v.EndpointByName(name); !ok && c.node.Coordinator(name) == c.o.Self {
+		if !c.node.Known(name) && c.node.Coordinator(name) == c.o.Self {
 			c.rows.write(name, ratelimit.Limit{})
 			wake(c.wakeRows)
 		}
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -77,8 +78,10 @@
 	// leaving is set when this instance hands off its steps.
 	leaving bool
 	running sync.WaitGroup
-	stop    context.CancelFunc
-	ctx     context.Context
+	// waitingSamples is the number of samples that wait for an endpoint.
+	waitingSamples atomic.Int64
+	stop           context.CancelFunc
+	ctx            context.Context
 }
 
 // ownedStep is a step and its owner.
--- a/controller/steps/ratelimit.go
+++ b/controller/steps/ratelimit.go
@@ -34,9 +34,16 @@
 	return min(free, c.o.RateLimits.Usable(e.Name))
 }
 
-// requestPermits asks for permits for waiting samples at those of the endpoints
-// that have a limit.
-func (c *Controller) requestPermits(endpoints []durable.Endpoint, v *view.View, waiting int) {
+// countWaiting updates the number of samples that wait at this instance. The caller
+// must hold r.mu.
+func (r *runner) countWaiting(waiting int) {
+	r.c.waitingSamples.Add(int64(waiting - r.waiting))
+	r.waiting = waiting
+}
+
+// requestPermits asks for permits for the samples that wait at this instance, at
+// those of the endpoints that have a limit.
+func (c *Controller) requestPermits(endpoints []durable.Endpoint, v *view.View) {
 	if c.o.RateLimits == nil {
 		return
 	}
@@ -48,7 +55,7 @@
 	}
 	if len(limited) > 0 {
 		c.o.RateLimits.Recheck(limited)
-		c.o.RateLimits.Request(waiting, limited)
+		c.o.RateLimits.Request(int(c.waitingSamples.Load()), limited)
 	}
 }
 
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -45,6 +45,9 @@
 	resultsAdded chan struct{}
 	// noNewStreams is set when no further stream may start.
 	noNewStreams bool
+	// waiting is the number of samples that this runner added to those that wait at
+	// this instance.
+	waiting int
 }
 
 func newRunner(c *Controller, step *durable.Step, t infra.Table, ownerVersion uint64, results []durable.Result) *runner {
@@ -130,9 +133,11 @@
 	}
 	actions := r.step.Tick(r.c.o.Clock.Now(), endpoints)
 	pause := tickPeriod
-	if waiting := r.step.Progress().Waiting; waiting > 0 {
+	waiting := r.step.Progress().Waiting
+	r.countWaiting(waiting)
+	if waiting > 0 {
 		pause = waitingTickPeriod
-		r.c.requestPermits(endpoints, v, waiting)
+		r.c.requestPermits(endpoints, v)
 	}
 	for _, a := range actions {
 		r.perform(ctx, wg, v, a)
@@ -260,6 +265,7 @@
 func (r *runner) cancelStreams() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.countWaiting(0)
 	for _, cancel := range r.streams {
 		cancel()
 	}
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -359,15 +359,15 @@
 	}
 }
 
-// kind returns what the attempt is for, in metrics.
-func (t *task) kind() string {
+// kind returns what the attempt is for.
+func (t *task) kind() attempt.Kind {
 	switch {
 	case t.r.Internal:
-		return "score"
+		return attempt.KindScore
 	case t.rec.Attempts() > 1:
-		return "retry"
+		return attempt.KindRetry
 	}
-	return "request"
+	return attempt.KindRequest
 }
 
 // host returns the Host header to send. Endpoints behind a route get the caller's
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -108,6 +108,8 @@
 	suspects    *filter.Suspects
 	lossReports *suspects.Rows
 	rateLimits  *ratelimits.Controller
+	// peers is the client for calls to other instances.
+	peers *http.Client
 
 	incarnation uint64
 	leaving     atomic.Bool
@@ -120,6 +122,7 @@
 func NewManaged(deps ManagedDeps) *Managed {
 	m := &Managed{deps: deps, views: view.NewStore(), incarnation: uint64(time.Now().UnixNano())}
 	s := deps.Settings
+	m.peers = m.peerClient()
 	m.intent = intent.New(intent.Options{
 		IntentSource: deps.Platform.IntentSource, Replicas: deps.Platform.Replicas,
 		Views: m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
@@ -166,7 +169,7 @@
 	m.steps = steps.New(steps.Options{
 		Steps: deps.Platform.Steps, Shared: deps.Platform.SystemTables.Part(demandPart), Engines: deps.Platform.Engines, Score: m.scoreFunc(),
 		IdleConnections: m.deps.Pool.IdleConns, RateLimits: m.rateLimits,
-		Handoff: steps.HandoffByModel{Peers: m.peerClient()},
+		Handoff: steps.HandoffByModel{Peers: m.peers},
 		Views:   m.views, Clock: deps.Clock, Log: deps.Log, Scope: deps.Scope,
 		Self: s.Name, Incarnation: m.incarnation, MembersSynced: m.presence.Synced,
 		StoreUnavailable: m.storeUnavailable,
@@ -204,7 +207,7 @@
 // newRequestPath creates the components that the filter chains use.
 func (m *Managed) newRequestPath() {
 	m.rateLimits = ratelimits.New(ratelimits.Options{
-		Tables: m.deps.Platform.Members, Peers: m.peerClient(), Views: m.views, Clock: m.deps.Clock,
+		Tables: m.deps.Platform.Members, Peers: m.peers, Views: m.views, Clock: m.deps.Clock,
 		Log: m.deps.Log, Scope: m.deps.Scope, Self: m.deps.Settings.Name,
 	})
 	m.dispatcher = dispatch.New(dispatch.Options{
--- a/ratelimit/budget.go
+++ b/ratelimit/budget.go
@@ -50,5 +50,8 @@
 
 // interval returns the time between two permits.
 func interval(rate float64) time.Duration {
-	return time.Duration(float64(time.Second) / max(rate, MinRate))
+	if !(rate >= MinRate) { // also if it is not a number
+		rate = MinRate
+	}
+	return time.Duration(float64(time.Second) / rate)
 }
--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -367,3 +367,25 @@
 		t.Error("a second recheck 1 s after the first one")
 	}
 }
+
+// TestEarlierIncarnationGetsNoPermits checks that instances which still ask for an
+// earlier incarnation neither get permits nor begin the budget anew.
+func TestEarlierIncarnationGetsNoPermits(t *testing.T) {
+	n := NewNode("a", rand.IntN)
+	for at := time.Duration(0); at <= 10*time.Second; at += time.Second {
+		n.SetMembers(at, []string{"a"})
+	}
+	now, permits := 10*time.Second, 0
+	for range 50 {
+		for _, incarnation := range []int64{2, 1} {
+			g := n.HandleAsk(now, Ask{Endpoint: modelEndpoint, Limit: Limit{Incarnation: incarnation, Rate: 2}, Count: 1})
+			if incarnation == 1 && len(g.Waits) > 0 {
+				t.Fatal("a permit for an earlier incarnation")
+			}
+			permits += len(g.Waits)
+		}
+	}
+	if permits > 3 {
+		t.Errorf("%d permits at once at a limit of 2 a second, want those of %v", permits, maxWait)
+	}
+}
--- a/ratelimit/node.go
+++ b/ratelimit/node.go
@@ -104,12 +104,12 @@
 		return false
 	}
 	each := min((count+len(free)-1)/len(free), maxAskCount)
-	for first := n.random(len(free)); count > 0 && len(free) > 0; count -= each {
-		at := first % len(free)
-		n.holding(free[at]).asked += each
-		n.ask(Ask{Endpoint: free[at], Count: each})
-		free[at] = free[len(free)-1]
-		free = free[:len(free)-1]
+	first := n.random(len(free))
+	for i := 0; count > 0 && i < len(free); i++ {
+		name := free[(first+i)%len(free)]
+		n.holding(name).asked += min(each, count)
+		n.ask(Ask{Endpoint: name, Count: min(each, count)})
+		count -= each
 	}
 	return true
 }
@@ -168,19 +168,14 @@
 // HandleAsk issues permits to an instance that asked for them.
 func (n *Node) HandleAsk(now time.Duration, a Ask) Grant {
 	g := Grant{Endpoint: a.Endpoint, Recheck: a.Recheck}
-	known := n.entries[a.Endpoint].limit
-	if !n.office.holds(now, a.Endpoint) || a.Limit.Incarnation < known.Incarnation {
+	b := n.budget(now, a)
+	if b == nil {
 		g.FullFor = retryDelay
 		return g
 	}
 	rate := a.Limit.Rate
-	if known.Incarnation == a.Limit.Incarnation && known.Rate > 0 {
-		rate = known.Rate
-	}
-	b := n.budgets[a.Endpoint]
-	if b == nil || b.incarnation != a.Limit.Incarnation {
-		b = &budget{incarnation: a.Limit.Incarnation, next: now}
-		n.budgets[a.Endpoint] = b
+	if known, ok := n.Limit(a.Endpoint, a.Limit.Incarnation); ok {
+		rate = known
 	}
 	b.charge(now, rate, min(a.Unreported, maxAskCount))
 	if a.Recheck && b.issuedAt > 0 && now-b.issuedAt < recheckAfter {
@@ -198,6 +193,24 @@
 	return g
 }
 
+// budget returns the budget of the incarnation that an ask is for. It returns nil if
+// this instance does not coordinate the endpoint, or knows a later incarnation.
+func (n *Node) budget(now time.Duration, a Ask) *budget {
+	incarnation := a.Limit.Incarnation
+	if !n.office.holds(now, a.Endpoint) || incarnation < n.entries[a.Endpoint].limit.Incarnation {
+		return nil
+	}
+	b := n.budgets[a.Endpoint]
+	switch {
+	case b == nil || incarnation > b.incarnation:
+		b = &budget{incarnation: incarnation, next: now}
+		n.budgets[a.Endpoint] = b
+	case incarnation < b.incarnation:
+		return nil
+	}
+	return b
+}
+
 // HandleGrant records the answer to an ask that was sent at the given time.
 func (n *Node) HandleGrant(sent, now time.Duration, a Ask, g Grant) {
 	h := n.holding(a.Endpoint)
@@ -252,17 +265,17 @@
 	return wait
 }
 
-// Sweep forgets endpoints for which exists returns false, and the state of those
+// Sweep forgets endpoints that were not listed for a time, and the state of those
 // without a limit.
-func (n *Node) Sweep(now time.Duration, exists func(endpoint string) bool) {
-	n.Table.Sweep(now, exists)
+func (n *Node) Sweep(now time.Duration, listed func(endpoint string) bool) {
+	n.Table.Sweep(now, listed)
 	for name, h := range n.holdings {
 		if n.entries[name].limit.Rate == 0 && h.asked == 0 {
 			delete(n.holdings, name)
 		}
 	}
 	for name, b := range n.budgets {
-		if !exists(name) || now-b.issuedAt > time.Minute {
+		if now-max(b.issuedAt, b.next) > retention {
 			delete(n.budgets, name)
 		}
 	}
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// endRetention is how long a Table remembers that a limit has ended. It must be
-// longer than a request takes to be answered.
-const endRetention = time.Minute
+// retention is how long a Table remembers that a limit has ended, and the limit of an
+// endpoint that is not listed. It must be longer than a request takes to be answered,
+// and than endpoints are missing from the list while the platform's store is down.
+const retention = time.Minute
 
 // Limit is the limit that one incarnation of an endpoint names.
 type Limit struct {
@@ -37,6 +38,9 @@
 	// handedOff is when the newest request was handed off whose answer named the
 	// limit, and heardAt when the last such answer was received.
 	handedOff, heardAt time.Duration
+	// listedAt is when the endpoint was last found listed by Sweep, or when the entry
+	// was made.
+	listedAt time.Duration
 }
 
 // Limit returns the limit of an endpoint. It returns false if there is none.
@@ -52,6 +56,12 @@
 // this instance learned of the limit from another one.
 func (t *Table) HeardAt(endpoint string) time.Duration { return t.entries[endpoint].heardAt }
 
+// Known reports whether the Table remembers the endpoint.
+func (t *Table) Known(endpoint string) bool {
+	_, ok := t.entries[endpoint]
+	return ok
+}
+
 // Len returns the number of endpoints with a limit.
 func (t *Table) Len() int {
 	n := 0
@@ -85,7 +95,7 @@
 		return e.limit, false
 	}
 	if a.Incarnation != e.limit.Incarnation {
-		e = entry{limit: Limit{Incarnation: a.Incarnation}}
+		e = entry{limit: Limit{Incarnation: a.Incarnation}, listedAt: now}
 	}
 	if len(a.Values) == 0 {
 		return t.handleEnd(now, e, a)
@@ -115,10 +125,13 @@
 // HandlePeer records a limit, or the end of one, that another instance learned. It
 // reports whether this changed the Table.
 func (t *Table) HandlePeer(now time.Duration, endpoint string, l Limit) bool {
-	e := t.entries[endpoint]
+	e, known := t.entries[endpoint]
 	if l.Incarnation < e.limit.Incarnation || l == e.limit {
 		return false
 	}
+	if !known {
+		e.listedAt = now
+	}
 	if e.limit.Rate == 0 || l.Rate == 0 || l.Incarnation != e.limit.Incarnation {
 		e.changedAt = now
 	}
@@ -134,11 +147,15 @@
 	t.entries[endpoint] = e
 }
 
-// Sweep forgets endpoints for which exists returns false, and ends that are too
-// old to matter.
-func (t *Table) Sweep(now time.Duration, exists func(endpoint string) bool) {
+// Sweep forgets endpoints that were not listed for a time, and ends that are too old
+// to matter.
+func (t *Table) Sweep(now time.Duration, listed func(endpoint string) bool) {
 	for name, e := range t.entries {
-		if !exists(name) || e.limit.Rate == 0 && now-e.changedAt > endRetention {
+		if listed(name) {
+			e.listedAt = now
+			t.entries[name] = e
+		}
+		if now-e.listedAt > retention || e.limit.Rate == 0 && now-e.changedAt > retention {
 			delete(t.entries, name)
 		}
 	}
