Limits: of the requests that wait, the newest are refused, not those with a permit

Cause: every waiting request checks whether permits are coming for all that wait. When one more arrived, the check of the earlier one, for which a permit was coming, could be first, and it was refused in place of the new one. Evidence: the refusals came 350 or 700 ms after arrival, at the next arrivals of the same instance.

Fix: a request that was once covered by the permits that are coming is refused only if none is coming any more.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -119,7 +119,7 @@
 	if eligible.count() < all.count() {
 		return nil, code.New(code.SelectionBusy, "service %q", w.Service)
 	}
-	if err := s.refuseByLimits(w, int(s.waiting.Load())+1); err != nil {
+	if _, err := s.refuseByLimits(w, int(s.waiting.Load())+1); err != nil {
 		return nil, err
 	}
 	slot, err := s.wait(ctx, w)
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -137,24 +137,27 @@
 
 // refuseByLimits returns an error if all endpoints of the service have rate limits
 // and there is no permit for one more of the waiting requests. Waiting is their
-// number, this one included.
-func (s *service) refuseByLimits(w Work, waiting int) error {
+// number, this one included. If there are permits for all of them, covered is true.
+func (s *service) refuseByLimits(w Work, waiting int) (covered bool, err error) {
 	limits := s.d.opt.RateLimits
 	if !limits.Any() {
-		return nil
+		return false, nil
 	}
 	idx := s.index(s.d.opt.Views.Load()).matching(w.Requirements)
 	limited := idx.limitedNames()
 	if len(limited) == 0 || len(limited) < idx.count() {
-		return nil
+		return false, nil
+	}
+	if limits.Coming(limited) >= waiting {
+		return true, nil
 	}
 	wait := limits.Wait(limited)
-	if wait == 0 || limits.Coming(limited) >= waiting {
-		return nil
+	if wait == 0 {
+		return false, nil
 	}
-	err := code.New(code.EndpointLimits, "service %q: next permit in %v", s.name, wait.Round(time.Millisecond))
-	err.RetryAfter = min(minRetryAfter+rand.N(minRetryAfter+wait), maxRetryAfter) // spreads the callers
-	return err
+	refusal := code.New(code.EndpointLimits, "service %q: next permit in %v", s.name, wait.Round(time.Millisecond))
+	refusal.RetryAfter = min(minRetryAfter+rand.N(minRetryAfter+wait), maxRetryAfter) // spreads the callers
+	return false, refusal
 }
 
 // MaySend reports whether the request may be sent now: the endpoint has no rate
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -162,6 +162,7 @@
 	}
 	check, stop := s.permitChecks()
 	defer stop()
+	covered := false
 	for {
 		select {
 		case slot, ok := <-wt.slot:
@@ -171,10 +172,15 @@
 			slot.item = it
 			return slot, nil
 		case <-check:
-			err := s.refuseByLimits(w, int(s.waiting.Load()))
+			waiting := int(s.waiting.Load())
+			if covered {
+				waiting = 1 // what came later is refused before this request
+			}
+			ok, err := s.refuseByLimits(w, waiting)
 			if err != nil && s.cancelWaiting(it) {
 				return nil, err
 			}
+			covered = covered || ok
 		case <-ctx.Done():
 			s.cancel(it, wt)
 			return nil, waitError(ctx)
