--- /dev/null
+++ b/review/standin/replica.go
@@ -0,0 +1,250 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Headers of requests and responses.
+const (
+	HeaderAttempt  = "Cumincove-Attempt-Id"
+	headerDeadline = "Cumincove-Deadline-Ms"
+	headerStamp    = "Cumincove-Response-Stamp"
+	headerInstance = "Cumincove-Expect-Instance"
+	headerReplica  = "Cumincove-Replica-Id"
+	headerNotRun   = "Cumincove-Not-Executed"
+	headerVersions = "Cumincove-Weight-Versions"
+	headerResume   = "Last-Event-Id"
+)
+
+// heartbeat is the time between two writes of a replica's entry.
+const heartbeat = 1200 * time.Millisecond
+
+// Run is one run of a request at a replica.
+type Run struct {
+	ID      string
+	Replica string
+	// Path is the path and the query as received.
+	Path     string
+	From, To time.Time // To is zero while it runs
+	// Complete is set if the last event was sent, or the answer.
+	Complete bool
+	Status   int
+}
+
+// Runs lists the runs at all replicas.
+type Runs struct {
+	mu   sync.Mutex
+	list []*Run
+}
+
+// All returns copies of the runs.
+func (rs *Runs) All() []Run {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	var list []Run
+	for _, r := range rs.list {
+		list = append(list, *r)
+	}
+	return list
+}
+
+func (rs *Runs) begin(id, replica, path string) *Run {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	r := &Run{ID: id, Replica: replica, Path: path, From: time.Now()}
+	rs.list = append(rs.list, r)
+	return r
+}
+
+func (rs *Runs) end(r *Run, status int, complete bool) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	r.To, r.Status, r.Complete = time.Now(), status, complete
+}
+
+// Replica is a replica of a service.
+type Replica struct {
+	ID      string
+	Service string
+	Addr    string
+	Slots   int
+	// Model is the model of an engine; empty means a plain service.
+	Model string
+	// Events returns the number of events of an item's text, and EventTime is the time
+	// between two.
+	Events    func(id string) int
+	EventTime time.Duration
+	// WorkTime is the time of a request of a plain service.
+	WorkTime time.Duration
+	// Answer returns the body of an answer of a plain service; nil is the usual one.
+	Answer func(id string) string
+
+	Record *Record
+	Runs   *Runs
+
+	zone string
+	born time.Time
+	mu   sync.Mutex
+	seq  int
+	busy int
+}
+
+// Start starts a replica and writes its entry to the store until the process ends.
+func (r *Replica) Start(ip, zone string, s *Store) error {
+	if err := r.Listen(ip); err != nil {
+		return err
+	}
+	r.zone, r.born = zone, time.Now()
+	go func() {
+		for {
+			s.Put("servers", r.ID, r.entry())
+			time.Sleep(heartbeat)
+		}
+	}()
+	return nil
+}
+
+// Listen serves requests without an entry in the store.
+func (r *Replica) Listen(ip string) (err error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", r.report)
+	mux.HandleFunc("POST /order", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerReplica, r.ID) })
+	mux.HandleFunc("/", r.run)
+	r.Addr, err = serve(ip, mux)
+	return err
+}
+
+func (r *Replica) models() []map[string]any {
+	if r.Model == "" {
+		return nil
+	}
+	return []map[string]any{{"name": r.Model, "version": 1, "adapters": []string{}}}
+}
+
+func (r *Replica) entry() map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seq++
+	e := map[string]any{
+		"service": r.Service, "addr": r.Addr, "zone": r.zone, "version": "v1", "slots": r.Slots,
+		"state": "ready", "cold-left-ms": 0, "seq": r.seq, "born": r.born.UnixMilli(),
+	}
+	if r.Model != "" {
+		e["stage"], e["models"] = "both", r.models()
+	}
+	return e
+}
+
+func (r *Replica) report(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	r.mu.Lock()
+	active := r.busy
+	r.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": "both", "models": r.models(), "busy": false, "seq": 0, "queued": 0, "active": active,
+		"kv-used": 0, "kv-total": 100000, "handles": 0,
+	})
+}
+
+// acquire takes a slot, and returns false if there is none.
+func (r *Replica) acquire() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy >= r.Slots {
+		return false
+	}
+	r.busy++
+	return true
+}
+
+func (r *Replica) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy--
+}
+
+// Busy returns the number of requests that the replica runs.
+func (r *Replica) Busy() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.busy
+}
+
+func (r *Replica) run(w http.ResponseWriter, q *http.Request) {
+	_, _ = io.Copy(io.Discard, q.Body)
+	id, h := q.Header.Get(HeaderAttempt), w.Header()
+	h.Set(HeaderAttempt, id)
+	if want := q.Header.Get(headerInstance); want != "" && want != r.ID {
+		h.Set(headerReplica, r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if id == "" || !r.acquire() {
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.release()
+	run := r.Runs.begin(id, r.ID, q.RequestURI)
+	r.Record.Add("replica %s runs %s %s %s, events after %q", r.ID, q.Method, q.RequestURI, id, q.Header.Get(headerResume))
+	complete := r.answer(w, q, id)
+	r.Runs.end(run, http.StatusOK, complete)
+	r.Record.Add("replica %s ended %s, complete %v", r.ID, id, complete)
+}
+
+// answer sends the answer, and reports whether it was sent whole.
+func (r *Replica) answer(w http.ResponseWriter, q *http.Request, id string) bool {
+	w.Header().Set(headerStamp, "stamp-"+id)
+	if r.Model == "" {
+		if !sleep(q, r.WorkTime) {
+			return false
+		}
+		body := "answer to " + id
+		if r.Answer != nil {
+			body = r.Answer(id)
+		}
+		_, err := io.WriteString(w, body)
+		return err == nil
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(headerVersions, "1")
+	after, _ := strconv.Atoi(q.Header.Get(headerResume)) // zero without the header
+	rc := http.NewResponseController(w)
+	for i := after + 1; i <= r.Events(id); i++ {
+		if !sleep(q, r.EventTime) {
+			return false
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s event %d\n\n", i, id, i); err != nil || rc.Flush() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// sleep waits, and returns false if the request's channel closes before.
+func sleep(q *http.Request, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-q.Context().Done():
+		return false
+	}
+}
+
+// StartDuties starts a stand-in for the platform's interface for duties, which
+// accepts all calls.
+func StartDuties(ip string) (addr string, err error) {
+	return serve(ip, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		w.WriteHeader(http.StatusOK)
+	}))
+}
