--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -32,7 +32,9 @@
 
 // Options describes a deployment.
 type Options struct {
-	Engines, Apps int
+	// Engines and Spares are the numbers of engines of the services "lm" and "lm2",
+	// and Apps is that of replicas of service "app".
+	Engines, Spares, Apps int
 	// Events returns the number of events of an item's text, and EventTime is the
 	// time between two.
 	Events    func(id string) int
@@ -112,11 +114,14 @@
 	if err != nil {
 		return err
 	}
-	for i := range o.Engines {
+	for i := range o.Engines + o.Spares {
 		r := &Replica{
 			ID: fmt.Sprintf("i-engine-%d", i), Service: "lm", Slots: Slots, Model: Model,
 			Events: o.Events, EventTime: o.EventTime, Record: d.Record, Runs: d.Runs,
 		}
+		if i >= o.Engines {
+			r.Service = "lm2"
+		}
 		if err := r.Start(IP(10+i), fmt.Sprintf("z-%d", i%3), d.Store); err != nil {
 			return err
 		}
@@ -128,7 +133,7 @@
 			return err
 		}
 	}
-	d.Store.Put("op", "config", configuration())
+	d.SetConfig(Config{Version: 7, Rollouts: "lm"})
 	for i := range instances {
 		in, err := StartInstance(fmt.Sprintf("frontend-%d", i), fmt.Sprintf("z-%d", i), IP(40+i), Platform{Store: d.Store.Addr, Duties: duties, Dir: tmp})
 		if err != nil {
@@ -144,13 +149,35 @@
 	return nil
 }
 
-func configuration() map[string]any {
+// Config is what differs between the configurations.
+type Config struct {
+	Version int
+	// Rollouts is the service of the rollout route.
+	Rollouts string
+	// Public is set if the rollout route is public.
+	Public bool
+}
+
+// SetConfig writes a configuration, as the operator does.
+func (d *Deployment) SetConfig(c Config) {
+	d.Store.Put("op", "config", c.wire())
+	d.Record.Add("operator writes configuration %d: rollouts at service %s, public %v", c.Version, c.Rollouts, c.Public)
+}
+
+func engineService(name string) map[string]any {
 	return map[string]any{
-		"version": 7,
+		"name": name, "health-path": "/healthz", "max-conns": 140, "protocol": "h1", "tls": false,
+		"engine": map[string]any{"slots": Slots, "kv-capacity": 100000, "models": []map[string]any{{"name": Model}}},
+	}
+}
+
+func (c Config) wire() map[string]any {
+	return map[string]any{
+		"version": c.Version,
 		"routes": []map[string]any{
 			{
-				"name": "r-rollout", "hostname": Host, "path-prefix": PathTrain, "route-kind": "rollout", "service": "lm",
-				"timeout-ms": 10000, "slo-ms": 500, "priority": 0, "max-attempts": 3, "run-deadline-ms": 40000, "queue-ttl-s": 90, "public": false,
+				"name": "r-rollout", "hostname": Host, "path-prefix": PathTrain, "route-kind": "rollout", "service": c.Rollouts,
+				"timeout-ms": 10000, "slo-ms": 500, "priority": 0, "max-attempts": 3, "run-deadline-ms": 40000, "queue-ttl-s": 90, "public": c.Public,
 			},
 			{
 				"name": "r-app", "hostname": Host, "path-prefix": PathApp, "route-kind": "idempotent", "service": "app",
@@ -158,8 +185,8 @@
 			},
 		},
 		"services": []map[string]any{
-			{"name": "lm", "health-path": "/healthz", "max-conns": 140, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": Slots, "kv-capacity": 100000, "models": []map[string]any{{"name": Model}}}},
+			engineService("lm"),
+			engineService("lm2"),
 			{"name": "app", "health-path": "/healthz", "max-conns": 110, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 33554432, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
@@ -196,3 +223,27 @@
 	}
 	return most
 }
+
+// Idle lists the items of a step that no replica finished and that were at no replica
+// for the given time, up to now.
+func (d *Deployment) Idle(step, items int, idle time.Duration) (ids []string) {
+	for i := range items {
+		finished, last := false, time.Time{}
+		for _, r := range d.Runs.All() {
+			if r.ID != ItemID(step, i) {
+				continue
+			}
+			finished = finished || r.Complete
+			switch {
+			case r.To.IsZero():
+				last = time.Now()
+			case r.To.After(last):
+				last = r.To
+			}
+		}
+		if !finished && time.Since(last) > idle {
+			ids = append(ids, fmt.Sprintf("%s since %.1f s", ItemID(step, i), time.Since(last).Seconds()))
+		}
+	}
+	return ids
+}
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -120,3 +120,6 @@
 	}
 	return nil
 }
+
+// Wait waits for the end of the process.
+func (in *Instance) Wait() { _ = in.cmd.Wait() } // the status tells no more
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -20,6 +20,7 @@
 	headerNotRun   = "Cumincove-Not-Executed"
 	headerVersions = "Cumincove-Weight-Versions"
 	headerResume   = "Last-Event-Id"
+	headerLeaving  = "Server-Leaving"
 )
 
 // heartbeat is the time between two writes of a replica's entry.
@@ -88,11 +89,14 @@
 	Record *Record
 	Runs   *Runs
 
-	zone string
-	born time.Time
-	mu   sync.Mutex
-	seq  int
-	busy int
+	zone   string
+	born   time.Time
+	server *http.Server
+	mu     sync.Mutex
+	seq    int
+	busy   int
+	// draining is set once the replica leaves, and gone once its entry is removed.
+	draining, gone bool
 }
 
 // Start starts a replica and writes its entry to the store until the process ends.
@@ -102,14 +106,40 @@
 	}
 	r.zone, r.born = zone, time.Now()
 	go func() {
-		for {
-			s.Put("servers", r.ID, r.entry())
+		for r.writeEntry(s) {
 			time.Sleep(heartbeat)
 		}
 	}()
 	return nil
 }
 
+// writeEntry writes the replica's entry, and returns false once it is removed.
+func (r *Replica) writeEntry(s *Store) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.gone {
+		s.Put("servers", r.ID, r.entry())
+	}
+	return !r.gone
+}
+
+// Leave reports that the replica is draining, serves for some time, removes the entry
+// and ends.
+func (r *Replica) Leave(s *Store, serve time.Duration) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.writeEntry(s)
+	r.Record.Add("replica %s is draining", r.ID)
+	time.Sleep(serve)
+	r.mu.Lock()
+	r.gone = true
+	r.mu.Unlock()
+	s.Remove("servers", r.ID)
+	r.server.Close()
+	r.Record.Add("replica %s has left", r.ID)
+}
+
 // Listen serves requests without an entry in the store.
 func (r *Replica) Listen(ip string) (err error) {
 	mux := http.NewServeMux()
@@ -117,7 +147,7 @@
 	mux.HandleFunc("POST /order", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(headerReplica, r.ID) })
 	mux.HandleFunc("/", r.run)
-	r.Addr, err = serve(ip, mux)
+	r.Addr, r.server, err = serve(ip, mux)
 	return err
 }
 
@@ -128,13 +158,16 @@
 	return []map[string]any{{"name": r.Model, "version": 1, "adapters": []string{}}}
 }
 
+// entry returns the replica's entry. The caller must hold mu.
 func (r *Replica) entry() map[string]any {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.seq++
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
 	e := map[string]any{
 		"service": r.Service, "addr": r.Addr, "zone": r.zone, "version": "v1", "slots": r.Slots,
-		"state": "ready", "cold-left-ms": 0, "seq": r.seq, "born": r.born.UnixMilli(),
+		"state": state, "cold-left-ms": 0, "seq": r.seq, "born": r.born.UnixMilli(),
 	}
 	if r.Model != "" {
 		e["stage"], e["models"] = "both", r.models()
@@ -170,6 +203,12 @@
 	r.busy--
 }
 
+func (r *Replica) isDraining() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.draining
+}
+
 // Busy returns the number of requests that the replica runs.
 func (r *Replica) Busy() int {
 	r.mu.Lock()
@@ -181,6 +220,9 @@
 	_, _ = io.Copy(io.Discard, q.Body)
 	id, h := q.Header.Get(HeaderAttempt), w.Header()
 	h.Set(HeaderAttempt, id)
+	if r.isDraining() {
+		h.Set(headerLeaving, "1")
+	}
 	if want := q.Header.Get(headerInstance); want != "" && want != r.ID {
 		h.Set(headerReplica, r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -243,8 +285,9 @@
 // StartDuties starts a stand-in for the platform's interface for duties, which
 // accepts all calls.
 func StartDuties(ip string) (addr string, err error) {
-	return serve(ip, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	addr, _, err = serve(ip, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		_, _ = io.Copy(io.Discard, q.Body)
 		w.WriteHeader(http.StatusOK)
 	}))
+	return addr, err
 }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,12 +6,13 @@
 )
 
 // serve serves a handler at a free port of a loopback address until the process
-// ends.
-func serve(ip string, h http.Handler) (addr string, err error) {
+// ends or the server is closed.
+func serve(ip string, h http.Handler) (addr string, s *http.Server, err error) {
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
-	go func() { _ = http.Serve(l, h) }() // ends with the process
-	return l.Addr().String(), nil
+	s = &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), s, nil
 }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -19,6 +20,9 @@
 	maxRows         = 500
 	maxParts        = 1000
 	maxEntries      = 100
+	// minLate and maxLate bound the delay of transactions that are executed late.
+	minLate = time.Second
+	maxLate = 6 * time.Second
 )
 
 // Row is a row of the store.
@@ -69,6 +73,8 @@
 	slow time.Duration
 	// partLocks make the transactions of a part run one after another.
 	partLocks map[string]*sync.Mutex
+	// late is the share of transactions that are executed late and not answered.
+	late float64
 	// lose decides whether the answer of an executed transaction is lost.
 	lose func(Transaction) bool
 }
@@ -81,7 +87,7 @@
 	mux.HandleFunc("GET /rows-get", s.read(s.get))
 	mux.HandleFunc("GET /rows-parts", s.read(s.parts))
 	mux.HandleFunc("GET /rows-feed", s.read(s.feed))
-	addr, err := serve(ip, mux)
+	addr, _, err := serve(ip, mux)
 	s.Addr = addr
 	return s, err
 }
@@ -100,6 +106,14 @@
 	s.lose = f
 }
 
+// SetLate makes a share of the transactions be executed some seconds later, without an
+// answer.
+func (s *Store) SetLate(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = share
+}
+
 // Put writes a row, as the operator or a replica does.
 func (s *Store) Put(table, key string, value any) {
 	data, err := json.Marshal(value)
@@ -109,9 +123,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	delete(s.removed, rowKey{table, "", key})
 	s.rows[rowKey{table, "", key}] = Row{Table: table, Key: key, Value: data, Version: s.version}
 }
 
+// Remove removes a row, as its writer does.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	k := rowKey{table, "", key}
+	delete(s.rows, k)
+	s.removed[k] = Row{Table: table, Key: key, Version: s.version, Deleted: true}
+}
+
 // Find returns the first row whose key and value the function accepts.
 func (s *Store) Find(accept func(Row) bool) (Row, bool) {
 	s.mu.Lock()
@@ -124,6 +149,12 @@
 	return Row{}, false
 }
 
+func (s *Store) isLate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.Float64() < s.late
+}
+
 func (s *Store) factor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,6 +183,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.isLate() {
+		time.AfterFunc(minLate+rand.N(maxLate-minLate), func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.apply(tx)
+		})
+		<-r.Context().Done()
+		return
+	}
 	l := s.partLock(part)
 	l.Lock()
 	time.Sleep(transactionTime * s.factor())
