--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -12,11 +12,12 @@
 	Host  = "rollouts.example"
 	Key   = "k-3fexd9dnn2ctnfzs989a"
 	Model = "m0"
-	// PathTrain is the prefix of the rollout route, whose engines are those of
-	// service "lm", and PathApp that of the idempotent and public route of service
-	// "app".
-	PathTrain = "/train/"
-	PathApp   = "/app/"
+	// PathTrain is the prefix of the rollout route and PathStream that of a streaming
+	// route, whose engines are those of service "lm". PathApp is that of the idempotent
+	// and public route of service "app".
+	PathTrain  = "/train/"
+	PathStream = "/stream/"
+	PathApp    = "/app/"
 )
 
 // Slots is the number of slots of a replica.
@@ -179,6 +180,10 @@
 				"name": "r-rollout", "hostname": Host, "path-prefix": PathTrain, "route-kind": "rollout", "service": c.Rollouts,
 				"timeout-ms": 10000, "slo-ms": 500, "priority": 0, "max-attempts": 3, "run-deadline-ms": 40000, "queue-ttl-s": 90, "public": c.Public,
 			},
+			{
+				"name": "r-stream", "hostname": Host, "path-prefix": PathStream, "route-kind": "streaming", "service": "lm",
+				"timeout-ms": 20000, "slo-ms": 2000, "priority": 1, "max-attempts": 1, "public": false,
+			},
 			{
 				"name": "r-app", "hostname": Host, "path-prefix": PathApp, "route-kind": "idempotent", "service": "app",
 				"timeout-ms": 3000, "slo-ms": 800, "priority": 2, "max-attempts": 4, "public": true,
@@ -213,17 +218,28 @@
 	return b
 }
 
-// Listed returns the results of a step from the first position on, as the instance
-// that lists most of them does.
+// Listed returns the results of a step, as the instance that lists most of them does.
 func (d *Deployment) Listed(step int) (most []Result) {
 	for _, addr := range d.Addrs {
-		if res, status := d.Trainer.Read(addr, BatchID(step), 0); status == http.StatusOK && len(res.Results) > len(most) {
-			most = res.Results
+		if list := d.listedAt(addr, step); len(list) > len(most) {
+			most = list
 		}
 	}
 	return most
 }
 
+// listedAt reads the results of a step at an instance, from the first position on,
+// until there are no further ones.
+func (d *Deployment) listedAt(addr string, step int) (list []Result) {
+	for {
+		res, status := d.Trainer.Read(addr, BatchID(step), len(list))
+		if status != http.StatusOK || len(res.Results) == 0 {
+			return list
+		}
+		list = append(list, res.Results...)
+	}
+}
+
 // Idle lists the items of a step that no replica finished and that were at no replica
 // for the given time, up to now.
 func (d *Deployment) Idle(step, items int, idle time.Duration) (ids []string) {
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -123,3 +123,6 @@
 
 // Wait waits for the end of the process.
 func (in *Instance) Wait() { _ = in.cmd.Wait() } // the status tells no more
+
+// PID returns the ID of the process.
+func (in *Instance) PID() int { return in.cmd.Process.Pid }
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -81,6 +81,10 @@
 	// between two.
 	Events    func(id string) int
 	EventTime time.Duration
+	// PauseAfter is the event after which a stream pauses for PauseTime, as one does
+	// whose request is preempted and read in again. Zero means none.
+	PauseAfter int
+	PauseTime  time.Duration
 	// WorkTime is the time of a request of a plain service.
 	WorkTime time.Duration
 	// Answer returns the body of an answer of a plain service; nil is the usual one.
@@ -266,10 +270,18 @@
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s event %d\n\n", i, id, i); err != nil || rc.Flush() != nil {
 			return false
 		}
+		if i == r.PauseAfter && !r.pause(q, id) {
+			return false
+		}
 	}
 	return true
 }
 
+func (r *Replica) pause(q *http.Request, id string) bool {
+	r.Record.Add("replica %s preempts %s", r.ID, id)
+	return sleep(q, r.PauseTime)
+}
+
 // sleep waits, and returns false if the request's channel closes before.
 func sleep(q *http.Request, d time.Duration) bool {
 	t := time.NewTimer(d)
