--- a/review/cmd/orphan/main.go
+++ b/review/cmd/orphan/main.go
@@ -1,21 +1,21 @@
-// Command orphan plays a case of the review: the owner of batch submissions stands
-// still for some seconds while the platform's store is slow. It exits with 1 if items
-// of an accepted batch submission are left at no replica until their trainer's time
+// Command orphan plays a case of the review: the owner of batch submissions is cut from
+// the platform's store for two seconds while the store loses answers. It exits with 1 if
+// items of an accepted batch submission are left at no replica until their trainer's time
 // is up, with 0 if they are not, and with 2 if the case couldn't run.
 package main
 
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/cumincove/cumincove/review/standin"
 )
 
 const (
-	steps    = 2
+	steps    = 4
 	items    = 4
 	replicas = 6
 
@@ -25,13 +25,14 @@
 	shortEvents = 20
 	eventTime   = 100 * time.Millisecond
 
-	// The disturbances, at their doses in the site file.
-	freezeTime = 4 * time.Second
-	slowFactor = 60
-	slowTime   = 4500 * time.Millisecond
+	// The disturbances, no longer and no stronger than in the site file.
+	cutTime   = 2300 * time.Millisecond
+	lossAfter = 1100 * time.Millisecond // from the start of the cut
+	lossShare = 0.35                    // of the writes
 
-	// The trouble comes once for each of slowAfter, until it leaves items, and each
-	// time beginTime after new steps.
+	// The trouble comes up to rounds times, until it leaves items, and each time
+	// beginTime after new steps.
+	rounds    = 6
 	beginTime = 2500 * time.Millisecond
 
 	// If an item is at no replica for quietTime, resumeTime after the trouble, the
@@ -45,13 +46,6 @@
 	idleTime = 5 * time.Second
 )
 
-// slowAfter are the times from the start of the freeze until the store turns slow. They
-// differ because the phases of the instances' heartbeats do.
-var slowAfter = []time.Duration{
-	500 * time.Millisecond, 2000 * time.Millisecond, 1200 * time.Millisecond,
-	500 * time.Millisecond, 2000 * time.Millisecond, 1200 * time.Millisecond,
-}
-
 func main() {
 	o := standin.Options{Engines: replicas, Apps: 1, Events: textLength, EventTime: eventTime}
 	standin.Main(o, func(d *standin.Deployment) (bool, error) { return (&deployment{Deployment: d}).play() })
@@ -72,7 +66,7 @@
 }
 
 func (d *deployment) play() (broken bool, err error) {
-	for _, after := range slowAfter {
+	for range rounds {
 		steps, err := d.submit()
 		if err != nil {
 			return false, err
@@ -80,7 +74,7 @@
 		accepted := time.Now()
 		time.Sleep(beginTime)
 		if d.Trouble {
-			if err := d.disturb(steps[0], after); err != nil {
+			if err := d.disturb(steps[0]); err != nil {
 				return false, err
 			}
 			time.Sleep(resumeTime)
@@ -120,43 +114,23 @@
 	return nil, errors.New("no instance runs the step")
 }
 
-// awaitWrite waits until an instance has just written its entry to the store.
-func (d *deployment) awaitWrite(in *standin.Instance) {
-	version := func() uint64 {
-		row, _ := d.Store.Find(func(r standin.Row) bool { return r.Key == "member/"+in.Name })
-		return row.Version
-	}
-	before, until := version(), time.Now().Add(2*time.Second)
-	for version() == before && time.Now().Before(until) {
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
-// disturb stops the instance that runs a step, as it has just written to the store,
-// for freezeTime. The store is slow for slowTime from the given time on.
-func (d *deployment) disturb(step int, after time.Duration) error {
+// disturb cuts the instance that runs a step from the store, and lets answers of the
+// store be lost meanwhile.
+func (d *deployment) disturb(step int) error {
 	in, err := d.owner(step)
 	if err != nil {
 		return err
 	}
-	d.awaitWrite(in)
-	d.Record.Add("trouble: %s stands still", in.Name)
-	if err := in.Signal(syscall.SIGSTOP); err != nil {
-		return err
-	}
-	wake := time.Now().Add(freezeTime)
-	time.Sleep(after)
-	d.Record.Add("trouble: the store's answers take %d times as long", slowFactor)
-	d.Store.SetSlow(slowFactor)
-	calm := time.Now().Add(slowTime)
-	time.Sleep(time.Until(wake))
-	d.Record.Add("trouble: %s goes on", in.Name)
-	if err := in.Signal(syscall.SIGCONT); err != nil {
-		return err
-	}
-	time.Sleep(time.Until(calm))
-	d.Record.Add("trouble: the store is as before")
-	d.Store.SetSlow(1)
+	d.Record.Add("trouble: %s is cut from the store", in.Name)
+	in.Link.SetCut(true)
+	heal := time.Now().Add(cutTime)
+	time.Sleep(lossAfter)
+	d.Record.Add("trouble: answers of the store are lost")
+	d.Store.SetLose(func(standin.Transaction) bool { return rand.Float64() < lossShare })
+	time.Sleep(time.Until(heal))
+	d.Record.Add("trouble: %s reaches the store, no more answers are lost", in.Name)
+	in.Link.SetCut(false)
+	d.Store.SetLose(nil)
 	return nil
 }
 
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -136,7 +136,7 @@
 	}
 	d.SetConfig(Config{Version: 7, Rollouts: "lm"})
 	for i := range instances {
-		in, err := StartInstance(fmt.Sprintf("frontend-%d", i), fmt.Sprintf("z-%d", i), IP(40+i), Platform{Store: d.Store.Addr, Duties: duties, Dir: tmp})
+		in, err := StartInstance(fmt.Sprintf("frontend-%d", i), fmt.Sprintf("z-%d", i), IP(40+i), Platform{Store: d.Store, Duties: duties, Dir: tmp})
 		if err != nil {
 			return err
 		}
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -23,6 +23,8 @@
 	Name    string
 	Zone    string
 	Callers string
+	// Link is the instance's way to the store.
+	Link *Link
 
 	readiness string
 	settings  string
@@ -32,7 +34,8 @@
 
 // Platform is what an instance needs to know of the platform.
 type Platform struct {
-	Store, Duties string
+	Store  *Store
+	Duties string
 	// Dir is the folder for settings files and logs.
 	Dir string
 }
@@ -55,6 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
+	link, err := p.Store.NewLink(ip)
+	if err != nil {
+		return nil, err
+	}
 	var ports [4]string
 	for i := range ports {
 		if ports[i], err = freePort(ip); err != nil {
@@ -65,10 +72,10 @@
 	text := strings.NewReplacer(
 		"{{node-name}}", name, "{{zone}}", zone, "{{listen.front}}", at(0), "{{listen.readiness}}", at(1),
 		"{{listen.directory}}", at(2), "{{ip}}", ip, "{{port-range.0}}", ports[3],
-		"{{platform.addr}}", p.Store, "{{cloud-api.addr}}", p.Duties, "{{limits.cpu-share}}", "0.8",
+		"{{platform.addr}}", link.Addr, "{{cloud-api.addr}}", p.Duties, "{{limits.cpu-share}}", "0.8",
 		"{{limits.memory-mb}}", "304", "{{bounds.report-window-s}}", "5",
 	).Replace(string(raw))
-	in := &Instance{Name: name, Zone: zone, Callers: at(0), readiness: at(1), settings: filepath.Join(p.Dir, name+".jsonc")}
+	in := &Instance{Name: name, Zone: zone, Callers: at(0), Link: link, readiness: at(1), settings: filepath.Join(p.Dir, name+".jsonc")}
 	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -64,6 +64,8 @@
 type Store struct {
 	Addr string
 
+	handler http.Handler
+
 	mu      sync.Mutex
 	rows    map[rowKey]Row
 	removed map[rowKey]Row
@@ -87,11 +89,47 @@
 	mux.HandleFunc("GET /rows-get", s.read(s.get))
 	mux.HandleFunc("GET /rows-parts", s.read(s.parts))
 	mux.HandleFunc("GET /rows-feed", s.read(s.feed))
+	s.handler = mux
 	addr, _, err := serve(ip, mux)
 	s.Addr = addr
 	return s, err
 }
 
+// Link is an instance's way to the store.
+type Link struct {
+	Addr string
+
+	mu  sync.Mutex
+	cut bool
+}
+
+// NewLink opens a way to the store at an address of its own.
+func (s *Store) NewLink(ip string) (*Link, error) {
+	l := &Link{}
+	addr, _, err := serve(ip, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if l.isCut() { // nothing comes on this channel
+			<-r.Context().Done()
+			return
+		}
+		s.handler.ServeHTTP(w, r)
+	}))
+	l.Addr = addr
+	return l, err
+}
+
+// SetCut cuts the way, silently, or heals it.
+func (l *Link) SetCut(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *Link) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
 // SetSlow makes answers take longer by a factor.
 func (s *Store) SetSlow(factor int) {
 	s.mu.Lock()
