--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -58,9 +58,14 @@
 
 // Main plays a case with a deployment, and ends the process with the exit code of
 // the outcome: 1 if the rule was broken, 0 if it held, and 2 if the case couldn't
-// run. The first argument of the program is the folder of the case.
+// run. The program's arguments are the name of the record, and 0 for a run without the
+// disruption or 1 for one with it.
 func Main(o Options, play func(d *Deployment) (broken bool, err error)) {
-	broken, err := run(os.Args[1], o, play)
+	if len(os.Args) != 3 {
+		fmt.Println("want: the name of the record, and 0 or 1")
+		os.Exit(2)
+	}
+	broken, err := run(os.Args[1], os.Args[2] != "0", o, play)
 	switch {
 	case err != nil:
 		fmt.Println("the case couldn't run:", err)
@@ -70,14 +75,14 @@
 	}
 }
 
-func run(dir string, o Options, play func(d *Deployment) (bool, error)) (broken bool, err error) {
-	rec, err := NewRecord(dir + "/record.txt")
+func run(record string, trouble bool, o Options, play func(d *Deployment) (bool, error)) (broken bool, err error) {
+	rec, err := NewRecord(record)
 	if err != nil {
 		return false, err
 	}
 	d := &Deployment{
 		Record: rec, Runs: &Runs{}, Trainer: Trainer{Host: Host, Key: Key, Record: rec},
-		Trouble: os.Getenv("TROUBLE") != "0",
+		Trouble: trouble,
 	}
 	tmp, err := os.MkdirTemp("", "review-")
 	if err != nil {
