--- a/controller/presence/controller.go
+++ b/controller/presence/controller.go
@@ -36,9 +36,12 @@
 	Period time.Duration
 	Lapse  time.Duration
 	// InFlight returns the number of requests in flight at this instance, and
-	// Leaving whether it is leaving. They are called before each write.
+	// Leaving whether it is leaving. They are called before each write, and so is
+	// Steps.
 	InFlight func() int
 	Leaving  func() bool
+	// Steps returns the rollout steps that this instance runs. See view.View.
+	Steps func() map[string]uint64
 	// Usage provides the usage by teams at this instance, and receives that at the
 	// other instances.
 	Usage UsageReporter
@@ -149,6 +152,7 @@
 		InFlight:    c.o.InFlight(),
 		Size:        c.o.Self.Size,
 		Streams:     c.streams(),
+		Steps:       c.o.Steps(),
 		Report:      c.o.Usage.NewReport(c.requestedServices()),
 	}
 	value, err := json.Marshal(r)
@@ -253,6 +257,7 @@
 // that they have in flight at endpoints.
 func (c *Controller) publish(now time.Duration) {
 	members := map[string]view.Member{}
+	steps := map[string]map[string]uint64{}
 	remote := map[string]int{}
 	for name, s := range c.observed {
 		if now-s.since > c.o.Lapse {
@@ -264,6 +269,9 @@
 		if name == c.o.Self.Name {
 			continue
 		}
+		if len(s.row.Steps) > 0 {
+			steps[name] = s.row.Steps
+		}
 		for endpoint, n := range s.row.Streams {
 			remote[endpoint] += n
 		}
@@ -276,7 +284,7 @@
 	old := c.o.Views.Load()
 	c.logChanges(old.Members, members)
 	c.o.Views.Update(func(v *view.View) {
-		v.Members, v.MembersAt = members, now
+		v.Members, v.MembersAt, v.MemberSteps = members, now, steps
 		v.SetLoad(loadReports(v, remote, now))
 	})
 }
--- a/controller/presence/doc.go
+++ b/controller/presence/doc.go
@@ -8,7 +8,7 @@
 //
 // A row also contains the number of requests that the instance has in flight at
 // each endpoint, so that other instances include them in the endpoint's load; the
-// size of the instance; the services for which requests wait at it; and the usage
+// size of the instance; the rollout steps that it runs; the services for which requests wait at it; and the usage
 // by teams, at this instance, of the services for which requests wait at other
 // instances.
 package presence
--- a/controller/presence/presence_test.go
+++ b/controller/presence/presence_test.go
@@ -30,6 +30,7 @@
 type instance struct {
 	views    *view.Store
 	leaving  atomic.Bool
+	steps    atomic.Pointer[map[string]uint64] // that it runs
 	queues   queues
 	logLines lineCounter
 	write    func() // triggers an immediate write of its row
@@ -181,6 +182,12 @@
 		Self:   view.Member{Name: name, Incarnation: incarnation},
 		Period: period, Lapse: lapse,
 		InFlight: func() int { return 0 }, Leaving: in.leaving.Load, Usage: &in.queues,
+		Steps: func() map[string]uint64 {
+			if steps := in.steps.Load(); steps != nil {
+				return *steps
+			}
+			return nil
+		},
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
@@ -379,3 +386,23 @@
 		}
 	})
 }
+
+// TestRunningStepsAreReported checks that an instance learns which steps another one
+// runs, and forgets them when the other one is down.
+func TestRunningStepsAreReported(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		fake := fakeplatform.New(fakeplatform.Options{})
+		a, b := start(t, fake.Tables(), "a", 1), start(t, fake.Tables(), "b", 1)
+		defer a.stop()
+		b.steps.Store(&map[string]uint64{"s": 3})
+		time.Sleep(2*period + time.Millisecond)
+		if got := a.views.Load().MemberSteps["b"]["s"]; got != 3 {
+			t.Errorf("a has version %d of step s at b, want 3", got)
+		}
+		b.crash()
+		time.Sleep(lapse + 2*period)
+		if got := a.views.Load().MemberSteps; len(got) != 0 {
+			t.Errorf("steps %v are still reported after b is down", got)
+		}
+	})
+}
--- a/controller/presence/rows.go
+++ b/controller/presence/rows.go
@@ -37,6 +37,8 @@
 	// Streams is the number of its requests in flight, streams included, by
 	// endpoint.
 	Streams map[string]int `json:"streams,omitempty"`
+	// Steps are the rollout steps that the instance runs. See view.View.
+	Steps map[string]uint64 `json:"steps,omitempty"`
 	// Report contains the services for which requests wait at the instance, and
 	// the usage that other instances requested.
 	teamusage.Report
--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -14,6 +14,14 @@
 	"github.com/cumincove/cumincove/view"
 )
 
+const (
+	// lockTimeout is how long a submission waits for a submission or claim of the
+	// same step at this instance.
+	lockTimeout = 300 * time.Millisecond
+	// lockPollPeriod is the time between two attempts to lock a step.
+	lockPollPeriod = 10 * time.Millisecond
+)
+
 // Accept stores a step and starts it. A nil error means that the step is stored, by
 // this call or an earlier one. An error whose code means "not run" guarantees that
 // no part of the step runs unless it is submitted again.
@@ -21,7 +29,7 @@
 	if c.isLeaving() {
 		return code.New(code.Draining, "")
 	}
-	if !c.tryLockStep(spec.ID) {
+	if !c.lockStep(ctx, spec.ID) {
 		return code.New(code.StepOwnerMoving, "the step is being submitted")
 	}
 	defer c.unlockStep(spec.ID)
@@ -53,6 +61,19 @@
 	return limit
 }
 
+// lockStep locks a step for a submission. It waits for up to lockTimeout, because a
+// claim that only reads the step is short.
+func (c *Controller) lockStep(ctx context.Context, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, lockTimeout)
+	defer cancel()
+	for !c.tryLockStep(id) {
+		if sleep(ctx, lockPollPeriod) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // tryLockStep locks a step for a submission or claim at this instance. It returns
 // false if the step is already locked.
 func (c *Controller) tryLockStep(id string) bool {
--- a/controller/steps/cluster_test.go
+++ b/controller/steps/cluster_test.go
@@ -32,6 +32,8 @@
 	eventPeriod   = 50 * time.Millisecond
 	eventCount    = 60
 	acceptTimeout = 5 * time.Second
+	memberPeriod  = time.Second
+	memberLapse   = 4 * time.Second
 )
 
 // fakeEngines is a fake infra.Engines. It produces the events of samples, and
@@ -90,7 +92,8 @@
 	// slow is the delay of reads, in nanoseconds.
 	slow atomic.Int64
 	// interceptCommit, if set, is called instead of executing a transaction. It can
-	// execute the transaction with commit.
+	// execute the transaction with commit. If it returns errPassThrough, the
+	// transaction is executed as usual.
 	interceptCommit atomic.Pointer[func(commit func()) error]
 }
 
@@ -121,7 +124,10 @@
 		return infra.ErrUnavailable
 	}
 	if intercept := t.faults.interceptCommit.Load(); intercept != nil {
-		return (*intercept)(func() { _ = t.Table.Commit(context.WithoutCancel(ctx), ops...) })
+		err := (*intercept)(func() { _ = t.Table.Commit(context.WithoutCancel(ctx), ops...) })
+		if !errors.Is(err, errPassThrough) {
+			return err
+		}
 	}
 	return t.Table.Commit(ctx, ops...)
 }
@@ -131,9 +137,13 @@
 	name  string
 	table *faultyTables
 	views *view.Store
-	// unreachable instances do not respond to Alive.
+	// incarnation distinguishes the processes of one name.
+	incarnation uint64
+	// unreachable instances do not respond to other instances.
 	unreachable atomic.Bool
-	stop        func()
+	// killed is set once the process was killed, and leaving while it shuts down.
+	killed, leaving atomic.Bool
+	stop            func()
 }
 
 // testCluster runs several instances in one process, with a fake store and fake
@@ -145,8 +155,20 @@
 	instances map[string]*instance
 	// handoff is the Handoff of all instances.
 	handoff fakeHandoff
+	// members is the table of the members' rows. If it is nil, setMembers sets the
+	// members.
+	members *fakeplatform.Platform
+	// mu guards instances while other goroutines call process.
+	mu sync.Mutex
+	// stopReports stops the goroutine that reports the running steps.
+	stopReports func()
 }
 
+// errPassThrough is returned by faultyTables.interceptCommit.
+var errPassThrough = errors.New("pass through")
+
+var errUnreachable = errors.New("instance unreachable")
+
 // fakeHandoff is a Handoff that calls the instances directly. If enabled is set, it
 // assigns the steps of a model to the same instance, as HandoffByModel does.
 type fakeHandoff struct {
@@ -166,10 +188,21 @@
 	return steps.HandoffByModel{}.Runner(spec, members)
 }
 
+// process returns the process of a member that other instances reach, or nil.
+func (cluster *testCluster) process(m view.Member) *instance {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	in := cluster.instances[m.Name]
+	if in.unreachable.Load() || in.incarnation != m.Incarnation {
+		return nil
+	}
+	return in
+}
+
 func (h *fakeHandoff) Alive(_ context.Context, m view.Member) (bool, error) {
-	in := h.cluster.instances[m.Name]
-	if in.unreachable.Load() {
-		return false, errors.New("instance unreachable")
+	in := h.cluster.process(m)
+	if in == nil {
+		return false, errUnreachable
 	}
 	return !in.table.down.Load(), nil
 }
@@ -179,14 +212,22 @@
 		return errors.New("request lost")
 	}
 	h.offers.Add(1)
-	return h.cluster.instances[m.Name].TakeOver(ctx, step, from, saved)
+	in := h.cluster.process(m)
+	if in == nil {
+		return errUnreachable
+	}
+	return in.TakeOver(ctx, step, from, saved)
 }
 
 func (h *fakeHandoff) Adopt(_ context.Context, m view.Member, step string) error {
 	if h.loseRequests.Load() {
 		return errors.New("request lost")
 	}
-	err := h.cluster.instances[m.Name].Adopt(step, m.Incarnation)
+	in := h.cluster.process(m)
+	if in == nil {
+		return errUnreachable
+	}
+	err := in.Adopt(step, m.Incarnation)
 	if h.loseResponses.Load() {
 		time.Sleep(100 * time.Millisecond)
 		return errors.New("response lost")
@@ -202,12 +243,49 @@
 	}
 	cluster.handoff.cluster = cluster
 	for _, name := range names {
-		cluster.instances[name] = cluster.start(name)
+		cluster.instances[name] = cluster.start(name, 1)
 	}
 	cluster.setMembers(names, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { cluster.reportSteps(ctx) })
+	cluster.stopReports = func() { cancel(); wg.Wait() }
 	return cluster
 }
 
+// reportSteps makes all instances observe once a second which steps the others run.
+// An instance that cannot reach the store reports and observes nothing new.
+func (cluster *testCluster) reportSteps(ctx context.Context) {
+	reports := map[string]map[string]uint64{}
+	for ctx.Err() == nil {
+		for name, in := range cluster.instances {
+			if !in.table.down.Load() {
+				reports[name] = in.RunningSteps()
+			}
+		}
+		for _, in := range cluster.instances {
+			if !in.table.down.Load() {
+				in.views.Update(func(v *view.View) { observeReports(v, maps.Clone(reports)) })
+			}
+		}
+		select {
+		case <-time.After(memberPeriod):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// observeReports installs a read of the members in which all heartbeats advanced.
+func observeReports(v *view.View, reports map[string]map[string]uint64) {
+	v.MemberSteps = reports
+	v.MembersAt += memberPeriod
+	v.Members = maps.Clone(v.Members)
+	for name, m := range v.Members {
+		m.HeartbeatAt += memberPeriod
+		v.Members[name] = m
+	}
+}
+
 // newHandoffCluster starts instances that hand off steps to each other.
 func newHandoffCluster(t *testing.T, names ...string) *testCluster {
 	cluster := newTestCluster(t, names...)
@@ -227,8 +305,8 @@
 	return open
 }
 
-func (cluster *testCluster) start(name string) *instance {
-	in := &instance{name: name, table: &faultyTables{Tables: cluster.fake.Tables()}, views: view.NewStore()}
+func (cluster *testCluster) start(name string, incarnation uint64) *instance {
+	in := &instance{name: name, incarnation: incarnation, table: &faultyTables{Tables: cluster.fake.Tables()}, views: view.NewStore()}
 	state := config.NewState()
 	state.Services[service] = config.Service{Meta: config.Meta{Name: service}, Type: config.ServiceEngine}
 	in.views.Update(func(v *view.View) {
@@ -246,17 +324,23 @@
 		IdleConnections: func(string) int { return 0 },
 		Handoff:         &cluster.handoff,
 		Clock:           clock.NewMonotonic(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Scope: tally.NoopScope,
-		Self: name, Incarnation: 1, MembersSynced: func() bool { return true },
+		Self: name, Incarnation: incarnation, MembersSynced: func() bool { return true },
 		StoreUnavailable: in.table.down.Load,
 	})
 	ctx, cancel := context.WithCancel(cluster.t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = in.Run(ctx) })
+	if cluster.members != nil {
+		wg.Go(func() { _ = cluster.newPresence(in).Run(ctx) })
+	}
 	in.stop = func() { cancel(); wg.Wait() }
 	return in
 }
 
 func (cluster *testCluster) stopAll() {
+	if cluster.stopReports != nil {
+		cluster.stopReports()
+	}
 	for _, in := range cluster.instances {
 		in.stop()
 	}
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -22,6 +22,9 @@
 	callTimeout = 2 * time.Second
 	// scanPeriod is the time between two scans for steps without an owner.
 	scanPeriod = 300 * time.Millisecond
+	// maxReportedSteps bounds the steps that an instance reports, because its row is
+	// limited in size. The owner of a step that is not reported is asked.
+	maxReportedSteps = 512
 	// rowRetention is how long the rows of a step are retained after its end.
 	rowRetention = 5 * time.Minute
 )
@@ -64,10 +67,10 @@
 	mu      sync.Mutex
 	runners map[string]*runner
 	// closed contains the steps that no longer need an owner, because they are done
-	// or were ended, with the time when this instance observed that. stepOwners
-	// contains the last observed owners of the steps that may need one.
-	closed     map[string]time.Duration
-	stepOwners map[string]ownedStep
+	// or were ended, with the time when this instance observed that. openSteps
+	// contains the others.
+	closed    map[string]time.Duration
+	openSteps map[string]openStep
 	// lockedSteps contains the steps that are being accepted or claimed at this
 	// instance.
 	lockedSteps map[string]bool
@@ -77,6 +80,8 @@
 	ineligibleScans int
 	// leaving is set when this instance hands off its steps.
 	leaving bool
+	// claims has an entry for each step that is being claimed.
+	claims  chan struct{}
 	running sync.WaitGroup
 	// waitingSamples is the number of samples that wait for an endpoint.
 	waitingSamples atomic.Int64
@@ -84,13 +89,6 @@
 	ctx            context.Context
 }
 
-// ownedStep is a step and its owner.
-type ownedStep struct {
-	owner Owner
-	// spec has no samples.
-	spec durable.Spec
-}
-
 // New returns a Controller.
 func New(o Options) *Controller {
 	ctx, stop := context.WithCancel(context.Background())
@@ -98,7 +96,8 @@
 		o:           o,
 		runners:     map[string]*runner{},
 		closed:      map[string]time.Duration{},
-		stepOwners:  map[string]ownedStep{},
+		openSteps:   map[string]openStep{},
+		claims:      make(chan struct{}, maxClaims),
 		lockedSteps: map[string]bool{},
 		cachedSteps: map[string]*cachedStep{},
 		ctx:         ctx,
@@ -135,6 +134,25 @@
 	return len(c.runners)
 }
 
+// RunningSteps returns the steps that this instance runs, with the versions of their
+// owners' rows. The other instances need it to find steps that no instance runs.
+// The number of steps is bounded by maxReportedSteps.
+func (c *Controller) RunningSteps() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.runners) == 0 {
+		return nil
+	}
+	steps := map[string]uint64{}
+	for id, r := range c.runners {
+		if len(steps) >= maxReportedSteps {
+			break
+		}
+		steps[id] = r.ownerVersion
+	}
+	return steps
+}
+
 // Samples counts the samples of the steps that this instance runs: those that have
 // a stream, and those that wait for one.
 func (c *Controller) Samples() (running, waiting int) {
--- a/controller/steps/doc.go
+++ b/controller/steps/doc.go
@@ -26,6 +26,13 @@
 // not respond to a call, or if the owner cannot reach the store and requests the
 // takeover.
 //
+// Which instance runs a step is not concluded from the owner's row alone, because
+// the row can name an instance that does not know it: the store's response to the
+// write was lost, or the write was executed late. Every instance reports the steps
+// that it runs (see RunningSteps). If no instance reports a step for a few reads of
+// the members, the instance that the step is assigned to reads the row again, and
+// either makes the owner run the step or takes the step over.
+//
 // A submission whose outcome is unknown is resolved by reading the rows. If the
 // step is not stored, a row is written under the head's key, so that the delayed
 // transaction can never commit. Only then is the step refused.
--- a/controller/steps/handoff.go
+++ b/controller/steps/handoff.go
@@ -132,11 +132,7 @@
 	if incarnation != c.o.Incarnation || !c.acceptsTakeOvers() {
 		return errNotAdopted
 	}
-	c.running.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
-		defer cancel()
-		c.claim(ctx, id, Owner{})
-	})
+	c.claimInBackground(id, Owner{})
 	return nil
 }
 
@@ -154,17 +150,22 @@
 	defer c.unlockStep(id)
 	// The requesting owner's timeout can be shorter than the calls to a slow store,
 	// so the takeover continues after the owner has cancelled its request.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer cancel()
 	t := c.table(id)
-	s, err := readState(ctx, t)
-	switch {
-	case err != nil:
+	s, err := c.readState(ctx, t)
+	if err != nil {
 		return err
+	}
+	c.recordOwner(id, s)
+	running := c.runner(id) != nil
+	switch {
 	case s.owner != from && s.owner != c.self(): // this instance is the owner if the request is repeated
 		return errNotAdopted
-	case s.ended || c.runner(id) != nil:
+	case s.ended || running && s.owner == c.self():
 		return nil
+	case running: // the runner of an earlier ownership has not ended yet
+		return errNotAdopted
 	}
 	return c.takeOver(ctx, id, t, s, saved)
 }
@@ -200,10 +201,14 @@
 	if c.runner(id) != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
+	if !c.tryLockStep(id) {
+		return false
+	}
+	defer c.unlockStep(id)
+	ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
 	defer cancel()
 	t := c.table(id)
-	s, err := readState(ctx, t)
+	s, err := c.readState(ctx, t)
 	switch {
 	case err != nil:
 		c.o.Log.Debug("step not read", "step", id, "error", err)
--- a/controller/steps/runner_store.go
+++ b/controller/steps/runner_store.go
@@ -137,10 +137,17 @@
 	return true, nil
 }
 
-// stopAsReplaced stops the runner because the step has another owner.
+// stopAsReplaced stops the runner because the step has another owner, and notifies
+// the new owner, which may not know that its write was executed.
 func (r *runner) stopAsReplaced(s state) {
 	r.log.Warn("step ownership lost", "owner", s.owner.Instance, "incarnation", s.owner.Incarnation)
+	r.c.recordOwner(r.spec.ID, s)
 	r.stopRunner()
+	if r.c.ownerAlive(s.owner) {
+		r.c.running.Go(func() {
+			_ = r.c.requestAdoption(r.c.ctx, r.spec.ID, s.owner) // the step is found again if it is lost
+		})
+	}
 }
 
 func (r *runner) batchStored(b *durable.Batch, began time.Duration) {
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -138,6 +138,7 @@
 		},
 		Period: time.Duration(s.Timing.MemberPeriod), Lapse: time.Duration(s.Timing.MemberLapse),
 		InFlight: func() int { return int(m.inFlight.Load()) }, Leaving: m.leaving.Load,
+		Steps: func() map[string]uint64 { return m.steps.RunningSteps() },
 		Usage: &teamusage.Controller{Queues: m.dispatcher},
 		OnChanges: func(changes infra.Changes) {
 			m.lossReports.HandleChanges(changes)
--- a/view/view.go
+++ b/view/view.go
@@ -26,6 +26,10 @@
 	// MembersAt is the boot time at which the members' heartbeats were last
 	// read.
 	MembersAt time.Duration
+	// MemberSteps contains the rollout steps that each other member reports to run, by the
+	// member's name and the step's ID, with the version that the row of the step's
+	// owner had when the member became the owner.
+	MemberSteps map[string]map[string]uint64
 	// RolloutInstances is the number of instances that have rollout work,
 	// including this one. Zero means that this instance has no rollout work, or
 	// that the other instances may not have been notified of its work yet. See
