--- a/config/route.go
+++ b/config/route.go
@@ -18,6 +18,27 @@
 	return best, found
 }
 
+// RouteNamed returns the route of a host with the given name.
+func (s *State) RouteNamed(host, name string) (Route, bool) {
+	for _, r := range s.Routes {
+		if r.Host == host && r.Name == name {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Services returns the services that the route leads to.
+func (r Route) Services() []string {
+	var names []string
+	for _, t := range r.Targets {
+		if t.Weight > 0 {
+			names = append(names, t.Service)
+		}
+	}
+	return names
+}
+
 // PickService returns the service that a draw selects. If draw is a random number
 // uniformly distributed in [0, 1), each target is chosen with a probability
 // proportional to its weight. PickService returns "" if no target has a positive
--- a/controller/steps/cluster_test.go
+++ b/controller/steps/cluster_test.go
@@ -43,11 +43,40 @@
 	// after contains, by sample, the LastIndex of each request: the event after
 	// which the engine continues.
 	after map[string][]int
+	// at contains, by sample, the endpoint of each request, and gone the endpoints
+	// that have ended.
+	at   map[string][]string
+	gone map[string]bool
+}
+
+func newFakeEngines() *fakeEngines {
+	return &fakeEngines{after: map[string][]int{}, at: map[string][]string{}, gone: map[string]bool{}}
+}
+
+// end ends an endpoint, and with it its streams.
+func (e *fakeEngines) end(endpoint string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone[endpoint] = true
+}
+
+func (e *fakeEngines) isGone(endpoint string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone[endpoint]
+}
+
+// endpointsOf returns the endpoints at which a sample was started, in order.
+func (e *fakeEngines) endpointsOf(sample string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.at[sample]
 }
 
 func (e *fakeEngines) Generate(ctx context.Context, g infra.GenerateRequest, each func(infra.Event) error) error {
 	e.mu.Lock()
 	e.after[g.ID] = append(e.after[g.ID], g.LastIndex)
+	e.at[g.ID] = append(e.at[g.ID], g.Engine.Endpoint)
 	e.mu.Unlock()
 	for i := g.LastIndex + 1; i <= eventCount; i++ {
 		select {
@@ -55,6 +84,9 @@
 		case <-ctx.Done():
 			return infra.ErrStreamInterrupted
 		}
+		if e.isGone(g.Engine.Endpoint) {
+			return infra.ErrStreamInterrupted
+		}
 		if err := each(infra.Event{Index: i, Text: eventText(g.ID, i), Version: 1}); err != nil {
 			return err
 		}
@@ -239,7 +271,7 @@
 func newTestCluster(t *testing.T, names ...string) *testCluster {
 	cluster := &testCluster{
 		t: t, fake: fakeplatform.New(fakeplatform.Options{}),
-		engines: &fakeEngines{after: map[string][]int{}}, instances: map[string]*instance{},
+		engines: newFakeEngines(), instances: map[string]*instance{},
 	}
 	cluster.handoff.cluster = cluster
 	for _, name := range names {
--- a/controller/steps/membercluster_test.go
+++ b/controller/steps/membercluster_test.go
@@ -60,7 +60,7 @@
 func newMemberCluster(t *testing.T, names ...string) *testCluster {
 	cluster := &testCluster{
 		t: t, fake: fakeplatform.New(fakeplatform.Options{}), members: fakeplatform.New(fakeplatform.Options{}),
-		engines: &fakeEngines{after: map[string][]int{}}, instances: map[string]*instance{},
+		engines: newFakeEngines(), instances: map[string]*instance{},
 	}
 	cluster.handoff.cluster = cluster
 	cluster.handoff.enabled = true
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -19,6 +19,9 @@
 	waitingTickPeriod = 20 * time.Millisecond
 	// checkPeriod is the time between two reads of a step's state.
 	checkPeriod = 250 * time.Millisecond
+	// routeRemovalDelay is the time from the removal of a step's route until waiting
+	// samples are abandoned. The operator may restore the route.
+	routeRemovalDelay = 3 * time.Second
 )
 
 // runner runs one step as its owner.
@@ -45,6 +48,9 @@
 	resultsAdded chan struct{}
 	// noNewStreams is set when no further stream may start.
 	noNewStreams bool
+	// unroutedSince is when the step's route was first observed to be removed; zero
+	// if the route exists.
+	unroutedSince time.Duration
 	// waiting is the number of samples that this runner added to those that wait at
 	// this instance.
 	waiting int
@@ -126,10 +132,11 @@
 	if unixMillis() > r.spec.AbandonAfter {
 		r.step.AbandonUnfinished()
 	}
-	var endpoints []durable.Endpoint
 	v := r.c.o.Views.Load()
-	if !r.noNewStreams {
-		endpoints = r.c.endpointsOf(v, r.spec)
+	endpoints, routed := r.c.endpointsOf(v, r.spec)
+	r.abandonUnrouted(routed)
+	if r.noNewStreams {
+		endpoints = nil
 	}
 	actions := r.step.Tick(r.c.o.Clock.Now(), endpoints)
 	pause := tickPeriod
@@ -146,6 +153,22 @@
 	return pause
 }
 
+// abandonUnrouted abandons the waiting samples once the step's route has been removed
+// for routeRemovalDelay. Their requests must not be sent any more. The caller must
+// hold r.mu.
+func (r *runner) abandonUnrouted(routed bool) {
+	now := r.c.o.Clock.Now()
+	switch {
+	case routed:
+		r.unroutedSince = 0
+	case r.unroutedSince == 0:
+		r.unroutedSince = now
+		r.log.Warn("the step's route was removed", "route", r.spec.Route)
+	case now-r.unroutedSince >= routeRemovalDelay:
+		r.step.AbandonWaiting()
+	}
+}
+
 // perform carries out an action. The caller must hold r.mu.
 func (r *runner) perform(ctx context.Context, wg *sync.WaitGroup, v *view.View, a durable.Action) {
 	switch a := a.(type) {
--- a/durable/spec.go
+++ b/durable/spec.go
@@ -7,10 +7,14 @@
 	ID   string `json:"id"`
 	Team string `json:"team"`
 	// Route is the name of the step's route, Host is the route's host, and Service
-	// is the service whose engines generate the samples.
+	// is the service that was chosen for the step when it was accepted. Engines of
+	// another service generate the samples if the route leads there later.
 	Route   string `json:"route"`
 	Host    string `json:"host"`
 	Service string `json:"service"`
+	// ConfigVersion is the version of the configuration in which the route was
+	// found.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 	// Number is the step's number at its trainer, and Model is the model that is
 	// trained.
 	Number int    `json:"number"`
--- a/durable/step.go
+++ b/durable/step.go
@@ -196,6 +196,15 @@
 	}
 }
 
+// AbandonWaiting abandons the samples that wait for an endpoint.
+func (s *Step) AbandonWaiting() {
+	for _, p := range s.samples {
+		if p.state == waiting {
+			s.abandon(p)
+		}
+	}
+}
+
 // cancelStream cancels a sample's stream, if it has one.
 func (s *Step) cancelStream(p *sample) {
 	if p.state != running {
