--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -102,7 +102,8 @@
 	case c.successorExcept(id, step.spec, step.owner.Instance) == c.o.Self && s.prober.ownerLost(ctx, step.owner):
 		c.claimInBackground(id, step.owner)
 	case step.unreportedReads >= maxUnreportedReads && c.successorExcept(id, step.spec, "") == c.o.Self:
-		c.checkUnreported(id, step.owner)
+		c.resetUnreported(id)
+		c.claimUnreportedInBackground(id)
 	}
 }
 
@@ -131,20 +132,6 @@
 	return step, true
 }
 
-// checkUnreported claims a step that no instance reports. If the owner is believed to
-// be alive, it is requested to run the step first, because its report can be late.
-func (c *Controller) checkUnreported(id string, owner Owner) {
-	c.resetUnreported(id)
-	c.o.Log.Warn("no instance reports that it runs the step", "step", id, "owner", owner.Instance,
-		"incarnation", owner.Incarnation)
-	c.o.Scope.Counter("steps_unreported").Inc(1)
-	c.running.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
-		defer cancel()
-		c.claimUnreported(ctx, id)
-	})
-}
-
 // resetUnreported restarts the count of the reads in which no instance reports a
 // step.
 func (c *Controller) resetUnreported(id string) {
--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -31,6 +31,19 @@
 	})
 }
 
+// claimUnreportedInBackground calls claimUnreported.
+func (c *Controller) claimUnreportedInBackground(id string) {
+	if !c.tryLockStep(id) {
+		return
+	}
+	c.running.Go(func() {
+		defer c.unlockStep(id)
+		ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
+		defer cancel()
+		c.claimUnreported(ctx, id)
+	})
+}
+
 // claim reads a step and, if the step has not ended, runs it in these cases:
 //
 //   - The owner is down or has released the step, or is the owner passed as lost,
@@ -61,19 +74,22 @@
 	}
 }
 
-// claimUnreported claims a step that no instance reports, after it requested the
-// step's owner to run it. An owner that confirms may already run the step.
+// claimUnreported claims a step that no instance reports. An owner that is alive is
+// requested to run the step first, because its report can be late. The caller must
+// have locked the step.
 func (c *Controller) claimUnreported(ctx context.Context, id string) {
-	if !c.tryLockStep(id) {
-		return
-	}
-	defer c.unlockStep(id)
 	s, err := c.readState(ctx, c.table(id))
 	if err != nil {
 		c.o.Log.Debug("step not read", "step", id, "error", err)
 		return
 	}
 	c.recordOwner(id, s)
+	if s.ended || !s.accepted() {
+		return
+	}
+	c.o.Log.Warn("no instance reports that it runs the step", "step", id, "owner", s.owner.Instance,
+		"incarnation", s.owner.Incarnation)
+	c.o.Scope.Counter("steps_unreported").Inc(1)
 	if c.ownerAlive(s.owner) && c.requestAdoption(ctx, id, s.owner) == nil {
 		return
 	}
