Steps: one way to claim in the background; smaller test files

Read as a newcomer: both kinds of claim lock a step, wait for their turn and bound their time in one function, which now bounds claims of unreported steps too; a scan's method stands with the scan; unixMillis stands where it is used.

--- a/controller/steps/cluster_test.go
+++ b/controller/steps/cluster_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"maps"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,134 +35,6 @@
 	memberLapse   = 4 * time.Second
 )
 
-// fakeEngines is a fake infra.Engines. It produces the events of samples, and
-// records the requests.
-type fakeEngines struct {
-	mu sync.Mutex
-	// after contains, by sample, the LastIndex of each request: the event after
-	// which the engine continues.
-	after map[string][]int
-	// at contains, by sample, the endpoint of each request, and gone the endpoints
-	// that have ended.
-	at   map[string][]string
-	gone map[string]bool
-}
-
-func newFakeEngines() *fakeEngines {
-	return &fakeEngines{after: map[string][]int{}, at: map[string][]string{}, gone: map[string]bool{}}
-}
-
-// end ends an endpoint, and with it its streams.
-func (e *fakeEngines) end(endpoint string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.gone[endpoint] = true
-}
-
-func (e *fakeEngines) isGone(endpoint string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.gone[endpoint]
-}
-
-// endpointsOf returns the endpoints at which a sample was started, in order.
-func (e *fakeEngines) endpointsOf(sample string) []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.at[sample]
-}
-
-func (e *fakeEngines) Generate(ctx context.Context, g infra.GenerateRequest, each func(infra.Event) error) error {
-	e.mu.Lock()
-	e.after[g.ID] = append(e.after[g.ID], g.LastIndex)
-	e.at[g.ID] = append(e.at[g.ID], g.Engine.Endpoint)
-	e.mu.Unlock()
-	for i := g.LastIndex + 1; i <= eventCount; i++ {
-		select {
-		case <-time.After(eventPeriod):
-		case <-ctx.Done():
-			return infra.ErrStreamInterrupted
-		}
-		if e.isGone(g.Engine.Endpoint) {
-			return infra.ErrStreamInterrupted
-		}
-		if err := each(infra.Event{Index: i, Text: eventText(g.ID, i), Version: 1}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (e *fakeEngines) Report(context.Context, infra.EngineRef) (infra.EngineReport, error) {
-	return infra.EngineReport{}, nil
-}
-
-func (e *fakeEngines) Order(context.Context, infra.WeightOrder) error { return nil }
-
-// runs returns the events after which a sample was started, in order of the starts.
-func (e *fakeEngines) runs(sample string) []int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.after[sample]
-}
-
-func eventText(id string, i int) string { return fmt.Sprintf("%s/%d", id, i) }
-
-func completeText(id string) string {
-	var list []string
-	for i := 1; i <= eventCount; i++ {
-		list = append(list, eventText(id, i))
-	}
-	return strings.Join(list, "\n")
-}
-
-// faultyTables is one instance's access to the store, with injected faults.
-type faultyTables struct {
-	infra.Tables
-	down atomic.Bool
-	// slow is the delay of reads, in nanoseconds.
-	slow atomic.Int64
-	// interceptCommit, if set, is called instead of executing a transaction. It can
-	// execute the transaction with commit. If it returns errPassThrough, the
-	// transaction is executed as usual.
-	interceptCommit atomic.Pointer[func(commit func()) error]
-}
-
-func (f *faultyTables) Part(name string) infra.Table { return &faultyTable{f.Tables.Part(name), f} }
-
-func (f *faultyTables) Parts(ctx context.Context, after string, limit int) ([]string, error) {
-	if f.down.Load() {
-		return nil, infra.ErrUnavailable
-	}
-	return f.Tables.Parts(ctx, after, limit)
-}
-
-type faultyTable struct {
-	infra.Table
-	faults *faultyTables
-}
-
-func (t *faultyTable) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
-	if t.faults.down.Load() {
-		return nil, infra.ErrUnavailable
-	}
-	time.Sleep(time.Duration(t.faults.slow.Load()))
-	return t.Table.List(ctx, prefix, after, limit)
-}
-
-func (t *faultyTable) Commit(ctx context.Context, ops ...infra.Op) error {
-	if t.faults.down.Load() {
-		return infra.ErrUnavailable
-	}
-	if intercept := t.faults.interceptCommit.Load(); intercept != nil {
-		err := (*intercept)(func() { _ = t.Table.Commit(context.WithoutCancel(ctx), ops...) })
-		if !errors.Is(err, errPassThrough) {
-			return err
-		}
-	}
-	return t.Table.Commit(ctx, ops...)
-}
-
 type instance struct {
 	*steps.Controller
 	name  string
@@ -196,84 +67,19 @@
 	stopReports func()
 }
 
-// errPassThrough is returned by faultyTables.interceptCommit.
-var errPassThrough = errors.New("pass through")
-
-var errUnreachable = errors.New("instance unreachable")
-
-// fakeHandoff is a Handoff that calls the instances directly. If enabled is set, it
-// assigns the steps of a model to the same instance, as HandoffByModel does.
-type fakeHandoff struct {
-	cluster *testCluster
-	enabled bool
-	// loseRequests drops the requests to other instances, and loseResponses drops
-	// the responses to Adopt.
-	loseRequests, loseResponses atomic.Bool
-	// offers counts the TakeOver requests that reached other instances.
-	offers atomic.Int64
-}
-
-func (h *fakeHandoff) Runner(spec durable.Spec, members []view.Member) string {
-	if !h.enabled {
-		return ""
-	}
-	return steps.HandoffByModel{}.Runner(spec, members)
-}
-
-// process returns the process of a member that other instances reach, or nil.
-func (cluster *testCluster) process(m view.Member) *instance {
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	in := cluster.instances[m.Name]
-	if in.unreachable.Load() || in.incarnation != m.Incarnation {
-		return nil
-	}
-	return in
-}
-
-func (h *fakeHandoff) Alive(_ context.Context, m view.Member) (bool, error) {
-	in := h.cluster.process(m)
-	if in == nil {
-		return false, errUnreachable
-	}
-	return !in.table.down.Load(), nil
-}
-
-func (h *fakeHandoff) TakeOver(ctx context.Context, m view.Member, step string, from steps.Owner, saved []durable.Saved) error {
-	if !h.enabled || h.loseRequests.Load() {
-		return errors.New("request lost")
-	}
-	h.offers.Add(1)
-	in := h.cluster.process(m)
-	if in == nil {
-		return errUnreachable
-	}
-	return in.TakeOver(ctx, step, from, saved)
-}
-
-func (h *fakeHandoff) Adopt(_ context.Context, m view.Member, step string) error {
-	if h.loseRequests.Load() {
-		return errors.New("request lost")
-	}
-	in := h.cluster.process(m)
-	if in == nil {
-		return errUnreachable
-	}
-	err := in.Adopt(step, m.Incarnation)
-	if h.loseResponses.Load() {
-		time.Sleep(100 * time.Millisecond)
-		return errors.New("response lost")
-	}
-	return err
-}
-
-// newTestCluster starts instances that are members of one cluster.
-func newTestCluster(t *testing.T, names ...string) *testCluster {
+// newEmptyCluster returns a cluster without instances.
+func newEmptyCluster(t *testing.T) *testCluster {
 	cluster := &testCluster{
 		t: t, fake: fakeplatform.New(fakeplatform.Options{}),
 		engines: newFakeEngines(), instances: map[string]*instance{},
 	}
 	cluster.handoff.cluster = cluster
+	return cluster
+}
+
+// newTestCluster starts instances that are members of one cluster.
+func newTestCluster(t *testing.T, names ...string) *testCluster {
+	cluster := newEmptyCluster(t)
 	for _, name := range names {
 		cluster.instances[name] = cluster.start(name, 1)
 	}
--- /dev/null
+++ b/controller/steps/fakeengines_test.go
@@ -0,0 +1,92 @@
+package steps_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cumincove/cumincove/infra"
+)
+
+// fakeEngines is a fake infra.Engines. It produces the events of samples, and
+// records the requests.
+type fakeEngines struct {
+	mu sync.Mutex
+	// after contains, by sample, the LastIndex of each request: the event after
+	// which the engine continues.
+	after map[string][]int
+	// at contains, by sample, the endpoint of each request, and gone the endpoints
+	// that have ended.
+	at   map[string][]string
+	gone map[string]bool
+}
+
+func newFakeEngines() *fakeEngines {
+	return &fakeEngines{after: map[string][]int{}, at: map[string][]string{}, gone: map[string]bool{}}
+}
+
+// end ends an endpoint, and with it its streams.
+func (e *fakeEngines) end(endpoint string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone[endpoint] = true
+}
+
+func (e *fakeEngines) isGone(endpoint string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gone[endpoint]
+}
+
+// endpointsOf returns the endpoints at which a sample was started, in order.
+func (e *fakeEngines) endpointsOf(sample string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.at[sample]
+}
+
+func (e *fakeEngines) Generate(ctx context.Context, g infra.GenerateRequest, each func(infra.Event) error) error {
+	e.mu.Lock()
+	e.after[g.ID] = append(e.after[g.ID], g.LastIndex)
+	e.at[g.ID] = append(e.at[g.ID], g.Engine.Endpoint)
+	e.mu.Unlock()
+	for i := g.LastIndex + 1; i <= eventCount; i++ {
+		select {
+		case <-time.After(eventPeriod):
+		case <-ctx.Done():
+			return infra.ErrStreamInterrupted
+		}
+		if e.isGone(g.Engine.Endpoint) {
+			return infra.ErrStreamInterrupted
+		}
+		if err := each(infra.Event{Index: i, Text: eventText(g.ID, i), Version: 1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *fakeEngines) Report(context.Context, infra.EngineRef) (infra.EngineReport, error) {
+	return infra.EngineReport{}, nil
+}
+
+func (e *fakeEngines) Order(context.Context, infra.WeightOrder) error { return nil }
+
+// runs returns the events after which a sample was started, in order of the starts.
+func (e *fakeEngines) runs(sample string) []int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.after[sample]
+}
+
+func eventText(id string, i int) string { return fmt.Sprintf("%s/%d", id, i) }
+
+func completeText(id string) string {
+	var list []string
+	for i := 1; i <= eventCount; i++ {
+		list = append(list, eventText(id, i))
+	}
+	return strings.Join(list, "\n")
+}
--- a/controller/steps/membercluster_test.go
+++ b/controller/steps/membercluster_test.go
@@ -58,11 +58,8 @@
 // newMemberCluster starts instances that find each other by their members' rows, and
 // that hand off steps to each other.
 func newMemberCluster(t *testing.T, names ...string) *testCluster {
-	cluster := &testCluster{
-		t: t, fake: fakeplatform.New(fakeplatform.Options{}), members: fakeplatform.New(fakeplatform.Options{}),
-		engines: newFakeEngines(), instances: map[string]*instance{},
-	}
-	cluster.handoff.cluster = cluster
+	cluster := newEmptyCluster(t)
+	cluster.members = fakeplatform.New(fakeplatform.Options{})
 	cluster.handoff.enabled = true
 	for _, name := range names {
 		cluster.instances[name] = cluster.start(name, 1)
--- a/controller/steps/model_test.go
+++ b/controller/steps/model_test.go
@@ -246,8 +246,7 @@
 	})
 }
 
-// TestEveryStepOfLargeFleetIsRunByOneInstance is the same for more instances than
-// are eligible for steps at a time.
+// TestEveryStepOfLargeFleetIsRunByOneInstance is the same for a larger fleet.
 func TestEveryStepOfLargeFleetIsRunByOneInstance(t *testing.T) {
 	s := schedule{instances: 60, seed: 1}
 	for i := range 12 {
--- a/controller/steps/runner.go
+++ b/controller/steps/runner.go
@@ -342,3 +342,6 @@
 	case <-ctx.Done():
 	}
 }
+
+// unixMillis returns the current time in Unix milliseconds.
+func unixMillis() int64 { return time.Now().UnixMilli() }
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -94,7 +94,7 @@
 // or if no instance reports that it runs the step.
 func (s *stepScan) checkStep(ctx context.Context, id string) {
 	c := s.c
-	step, open := c.observeReport(id, s)
+	step, open := s.observe(id)
 	switch {
 	case !open:
 	case !step.known || !c.ownerAlive(step.owner) || c.ownerLeaving(step.owner):
@@ -103,13 +103,14 @@
 		c.claimInBackground(id, step.owner)
 	case step.unreportedReads >= maxUnreportedReads && c.successorExcept(id, step.spec, "") == c.o.Self:
 		c.resetUnreported(id)
-		c.claimUnreportedInBackground(id)
+		c.inBackground(id, func(ctx context.Context) { c.claimUnreported(ctx, id) })
 	}
 }
 
-// observeReport updates what is known of a step with the members' reports, and
-// returns it. Open is false if the step needs no owner, or runs here.
-func (c *Controller) observeReport(id string, s *stepScan) (step openStep, open bool) {
+// observe updates what is known of a step with the members' reports, and returns it.
+// Open is false if the step needs no owner, or runs here.
+func (s *stepScan) observe(id string) (step openStep, open bool) {
+	c := s.c
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, closed := c.closed[id]; closed || c.runners[id] != nil {
@@ -154,6 +155,3 @@
 	c.ineligibleScans++
 	return c.ineligibleScans%ineligibleScanInterval == 0
 }
-
-// unixMillis returns the current time in Unix milliseconds.
-func unixMillis() int64 { return time.Now().UnixMilli() }
--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -12,8 +12,9 @@
 // errReplaced is returned if another instance became the owner of a step.
 var errReplaced = errors.New("steps: another instance became the owner")
 
-// claimInBackground calls claim. At most maxClaims steps are claimed at a time.
-func (c *Controller) claimInBackground(id string, lost Owner) {
+// inBackground locks a step, calls claim, and unlocks the step. It does nothing if the
+// step is locked. At most maxClaims calls run at a time.
+func (c *Controller) inBackground(id string, claim func(ctx context.Context)) {
 	if !c.tryLockStep(id) {
 		return
 	}
@@ -27,21 +28,13 @@
 		defer func() { <-c.claims }()
 		ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
 		defer cancel()
-		c.claim(ctx, id, lost)
+		claim(ctx)
 	})
 }
 
-// claimUnreportedInBackground calls claimUnreported.
-func (c *Controller) claimUnreportedInBackground(id string) {
-	if !c.tryLockStep(id) {
-		return
-	}
-	c.running.Go(func() {
-		defer c.unlockStep(id)
-		ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
-		defer cancel()
-		c.claimUnreported(ctx, id)
-	})
+// claimInBackground calls claim in the background.
+func (c *Controller) claimInBackground(id string, lost Owner) {
+	c.inBackground(id, func(ctx context.Context) { c.claim(ctx, id, lost) })
 }
 
 // claim reads a step and, if the step has not ended, runs it in these cases:
