--- a/review/kit2/engine.go
+++ b/review/kit2/engine.go
@@ -8,8 +8,9 @@
 
 // Runs notes when items were at engines.
 type Runs struct {
-	mu    sync.Mutex
-	items map[string]*ItemRuns
+	mu      sync.Mutex
+	items   map[string]*ItemRuns
+	started time.Time
 }
 
 // ItemRuns is what is known of the runs of one item.
@@ -22,7 +23,7 @@
 }
 
 // NewRuns returns a Runs without items.
-func NewRuns() *Runs { return &Runs{items: map[string]*ItemRuns{}} }
+func NewRuns() *Runs { return &Runs{items: map[string]*ItemRuns{}, started: time.Now()} }
 
 // Begin notes that a run of an item has begun, and returns its number from one.
 func (r *Runs) Begin(id string) int {
@@ -58,6 +59,17 @@
 	return ItemRuns{}
 }
 
+// Away returns the time since an item was last at an engine, or since the start if it
+// never was at one.
+func (r *Runs) Away(id string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if it := r.items[id]; it != nil {
+		return time.Since(it.LeftAt)
+	}
+	return time.Since(r.started)
+}
+
 // AddEngine starts an engine whose items have a number of events, one each pause.
 func (e *Env) AddEngine(id string, runs *Runs, last int, pause time.Duration) (*Replica, error) {
 	p := &Replica{ID: id, Service: EngineService, Zone: "mvd-a", Slots: 8, Engine: true}
@@ -82,7 +94,7 @@
 // Owner returns the machine that runs a step, as its row in the store says, or nil. A
 // case uses it only to choose the machine that a disturbance strikes.
 func (e *Env) Owner(step string) *Machine {
-	for _, row := range e.Store.Rows("cumincove-steps", func(r Row) bool { return r.Part == step && r.Key == "state/owner" }) {
+	for _, row := range e.Store.Rows("cumincove-steps", step, func(key string) bool { return key == "state/owner" }) {
 		for _, m := range e.Machines {
 			if containsName(row.Value, m.Name) {
 				return m
--- a/review/kit2/instance.go
+++ b/review/kit2/instance.go
@@ -153,14 +153,14 @@
 	}
 }
 
-// PeakMB returns the peak of the process's resident memory.
-func (m *Machine) PeakMB() int {
+// MemoryNow returns the process's resident memory in MB, and zero if it has ended.
+func (m *Machine) MemoryNow() int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.Lines(string(data)) {
-		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
 			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
 			return kb / 1024
 		}
--- a/review/kit2/run.go
+++ b/review/kit2/run.go
@@ -132,3 +132,26 @@
 	}
 	_ = os.RemoveAll(e.dir)
 }
+
+// SmallDeployment starts three machines, some engines whose items have a number of events
+// with a pause before each, and a replica of the plain service.
+func (e *Env) SmallDeployment(engines int, runs *Runs, events int, pause time.Duration) error {
+	for n := range engines {
+		if _, err := e.AddEngine(fmt.Sprintf("i-engine%d", n+1), runs, events, pause); err != nil {
+			return err
+		}
+	}
+	if _, err := e.AddPlain("i-app1"); err != nil {
+		return err
+	}
+	e.Store.Put("op", "config", Config(3, []Route{RolloutRoute(), ScoreRoute()}, Engines(), Plain()))
+	for _, name := range []string{"frontend-mvd-a-1", "frontend-mvd-a-2", "frontend-mvd-a-3"} {
+		if _, err := e.AddMachine(name, e.Store.Addr, siteMemoryMB); err != nil {
+			return err
+		}
+	}
+	return e.Start()
+}
+
+// siteMemoryMB is the memory of a machine of the site celeste-rollouts.
+const siteMemoryMB = 314
--- a/review/kit2/store.go
+++ b/review/kit2/store.go
@@ -1,6 +1,7 @@
 package kit2
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +37,10 @@
 
 type rowKey struct{ table, part, key string }
 
+type rowPart struct{ table, part string }
+
+func (k rowKey) in() rowPart { return rowPart{k.table, k.part} }
+
 type storeAnswer struct {
 	Rows    []Row    `json:"rows,omitempty"`
 	More    bool     `json:"has-more"`
@@ -51,8 +56,9 @@
 	// OnRow, if set, is called after each write of a row, without a lock.
 	OnRow func(Row)
 
-	mu      sync.Mutex
-	rows    map[rowKey]Row
+	mu sync.Mutex
+	// rows and removed are indexed by table and part, and then by key.
+	rows    map[rowPart]map[string]Row
 	removed map[rowKey]Row
 	version uint64
 	parts   map[string]*sync.Mutex // transactions of one part run one after another
@@ -61,7 +67,7 @@
 
 // NewStore starts a store on a loopback address.
 func NewStore(ip string) (*Store, error) {
-	s := &Store{rows: map[rowKey]Row{}, removed: map[rowKey]Row{}, parts: map[string]*sync.Mutex{}, started: time.Now()}
+	s := &Store{rows: map[rowPart]map[string]Row{}, removed: map[rowKey]Row{}, parts: map[string]*sync.Mutex{}, started: time.Now()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /rows-tx", s.tx)
 	mux.HandleFunc("GET /rows-get", s.get)
@@ -91,38 +97,48 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	k := rowKey{table, "", key}
+	s.set(rowKey{table, "", key}, data)
+}
+
+// set writes a row with the current version. The caller must hold mu.
+func (s *Store) set(k rowKey, value []byte) Row {
+	if s.rows[k.in()] == nil {
+		s.rows[k.in()] = map[string]Row{}
+	}
+	row := Row{Table: k.table, Part: k.part, Key: k.key, Value: value, Version: s.version}
 	delete(s.removed, k)
-	s.rows[k] = Row{Table: table, Key: key, Value: data, Version: s.version}
+	s.rows[k.in()][k.key] = row
+	return row
 }
 
 // Remove removes a row of the unnamed part.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.version++
 	s.remove(rowKey{table, "", key})
 }
 
+// remove removes a row with the current version. The caller must hold mu.
 func (s *Store) remove(k rowKey) {
-	if _, ok := s.rows[k]; !ok {
+	if _, ok := s.rows[k.in()][k.key]; !ok {
 		return
 	}
-	s.version++
-	delete(s.rows, k)
+	delete(s.rows[k.in()], k.key)
 	s.removed[k] = Row{Table: k.table, Part: k.part, Key: k.key, Version: s.version, Deleted: true}
 }
 
-// Rows returns the rows of a table whose part and key satisfy keep, by part and key.
-func (s *Store) Rows(table string, keep func(Row) bool) []Row {
+// Rows returns the rows of a part whose keys satisfy keep, by key.
+func (s *Store) Rows(table, part string, keep func(key string) bool) []Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []Row
-	for k, r := range s.rows {
-		if k.table == table && keep(r) {
+	for key, r := range s.rows[rowPart{table, part}] {
+		if keep(key) {
 			list = append(list, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b Row) int { return strings.Compare(a.Part+"\x00"+a.Key, b.Part+"\x00"+b.Key) })
+	slices.SortFunc(list, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
 	return list
 }
 
@@ -199,7 +215,7 @@
 	var current []Row
 	held := true
 	for _, e := range t.Expected {
-		row, ok := s.rows[rowKey{e.Table, e.Part, e.Key}]
+		row, ok := s.rows[rowPart{e.Table, e.Part}][e.Key]
 		held = held && row.Version == e.Version
 		if ok {
 			current = append(current, row)
@@ -212,18 +228,10 @@
 	s.version++
 	var written []Row
 	for _, p := range t.Puts {
-		k := rowKey{p.Table, p.Part, p.Key}
-		row := Row{Table: p.Table, Part: p.Part, Key: p.Key, Value: p.Value, Version: s.version}
-		delete(s.removed, k)
-		s.rows[k] = row
-		written = append(written, row)
+		written = append(written, s.set(rowKey{p.Table, p.Part, p.Key}, p.Value))
 	}
 	for _, p := range t.Remove {
-		k := rowKey{p.Table, p.Part, p.Key}
-		if _, ok := s.rows[k]; ok {
-			delete(s.rows, k)
-			s.removed[k] = Row{Table: k.table, Part: k.part, Key: k.key, Version: s.version, Deleted: true}
-		}
+		s.remove(rowKey{p.Table, p.Part, p.Key})
 	}
 	a := storeAnswer{Version: s.version}
 	s.mu.Unlock()
@@ -242,8 +250,8 @@
 	if err != nil || limit <= 0 || limit > maxRows {
 		limit = maxRows
 	}
-	list := s.Rows(q.Get("table"), func(row Row) bool {
-		return row.Part == q.Get("part") && row.Key >= q.Get("from") && (!q.Has("target") || row.Key < q.Get("target"))
+	list := s.Rows(q.Get("table"), q.Get("part"), func(key string) bool {
+		return key >= q.Get("from") && (!q.Has("target") || key < q.Get("target"))
 	})
 	a := storeAnswer{}
 	size := 0
@@ -264,15 +272,16 @@
 	time.Sleep(readTime)
 	q := r.URL.Query()
 	a := storeAnswer{}
-	for _, row := range s.Rows(q.Get("table"), func(row Row) bool { return row.Part > q.Get("after") || !q.Has("after") }) {
-		if n := len(a.Parts); n == 0 || a.Parts[n-1] != row.Part {
-			a.Parts = append(a.Parts, row.Part)
+	s.mu.Lock()
+	for p, rows := range s.rows {
+		if p.table == q.Get("table") && len(rows) > 0 && (p.part > q.Get("after") || !q.Has("after")) {
+			a.Parts = append(a.Parts, p.part)
 		}
 	}
-	a.Parts = a.Parts[:min(len(a.Parts), 1000)]
-	s.mu.Lock()
 	a.Version = s.version
 	s.mu.Unlock()
+	slices.Sort(a.Parts)
+	a.Parts = a.Parts[:min(len(a.Parts), 1000)]
 	s.answer(w, http.StatusOK, a)
 }
 
@@ -300,14 +309,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := storeAnswer{Version: s.version}
-	for _, rows := range []map[rowKey]Row{s.rows, s.removed} {
-		for k, row := range rows {
-			if k.table == table && row.Version > after {
+	for p, rows := range s.rows {
+		for _, row := range rows {
+			if p.table == table && row.Version > after {
 				a.Rows = append(a.Rows, row)
 			}
 		}
 	}
-	slices.SortFunc(a.Rows, func(x, y Row) int { return int(int64(x.Version) - int64(y.Version)) })
+	for k, row := range s.removed {
+		if k.table == table && row.Version > after {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	slices.SortFunc(a.Rows, func(x, y Row) int { return cmp.Compare(x.Version, y.Version) })
 	return a
 }
 
