--- a/review/kit2/engine.go
+++ b/review/kit2/engine.go
@@ -77,13 +77,29 @@
 		item := r.Header.Get(HeaderAttempt)
 		n := runs.Begin(item)
 		e.Printf("replica %s: item %s begins, run %d, after event %q", id, item, n, r.Header.Get("Last-Event-Id"))
-		done := p.Stream(w, r, last, func(int) { time.Sleep(pause) }, func(n int) string { return "token " + item })
+		done := p.Stream(w, r, e.events(item, last), func(int) { time.Sleep(pause) }, func(int) string { return e.text(item) })
 		runs.End(item, done)
 		e.Printf("replica %s: item %s ends, finished: %v", id, item, done)
 	}
 	return p, p.Start(e.IP()+":0", e.Store)
 }
 
+// events returns the number of events of an item.
+func (e *Env) events(item string, usual int) int {
+	if e.ItemEvents != nil {
+		return e.ItemEvents(item)
+	}
+	return usual
+}
+
+// text returns the text of an event of an item.
+func (e *Env) text(item string) string {
+	if e.ItemText != nil {
+		return e.ItemText(item)
+	}
+	return "token " + item
+}
+
 // AddPlain starts a replica of the plain service that answers at once.
 func (e *Env) AddPlain(id string) (*Replica, error) {
 	p := &Replica{ID: id, Service: PlainService, Zone: "mvd-a", Slots: 6}
--- a/review/kit2/lost.go
+++ b/review/kit2/lost.go
@@ -80,6 +80,9 @@
 	t.Env.Printf("step %s: %d of %d items are listed", t.Step, len(t.listed), len(t.Items))
 }
 
+// Listed reports whether an item is listed.
+func (t *Trainer) Listed(id string) bool { return t.listed[id] }
+
 // Lost checks LOST for the items that are not listed once the step's time is up, and
 // returns the number of breaks. With bodies it asks for their bodies, too.
 func (t *Trainer) Lost(bodies bool) int {
--- a/review/kit2/run.go
+++ b/review/kit2/run.go
@@ -23,6 +23,10 @@
 	*Record
 	Store    *Store
 	Machines []*Machine
+	// ItemText, if set, returns the text of an event of an item.
+	ItemText func(item string) string
+	// ItemEvents, if set, returns the number of events of an item.
+	ItemEvents func(item string) int
 	// Trouble is false if the case runs without its disturbance.
 	Trouble bool
 
