--- a/review/6/main.go
+++ b/review/6/main.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	rounds = 3
+	rounds = 6
 	// steps is the number of steps of a round.
 	steps = 8
 	// maxCut bounds the cut. Site celeste-rollouts has node_cut for 12 s (scale-2).
--- a/review/kit2/replica.go
+++ b/review/kit2/replica.go
@@ -37,6 +37,11 @@
 	ID, Service, Zone string
 	Slots             int
 	Engine            bool
+	// LoadTime is how long an engine loads weights after an order. It refuses what has
+	// not begun meanwhile.
+	LoadTime time.Duration
+	// OnOrder, if set, is called for each order.
+	OnOrder func()
 	// Serve runs a request whose body was read.
 	Serve func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -48,6 +53,11 @@
 	once  sync.Once
 	srv   *http.Server
 	stamp atomic.Uint64
+
+	mu      sync.Mutex
+	version int // of the weights
+	orders  int
+	busy    bool
 }
 
 // Start listens at an address ("ip:0" for a free port) and registers the replica.
@@ -63,6 +73,7 @@
 // StartOn serves a listener with a handler, and registers the replica.
 func (p *Replica) StartOn(l net.Listener, store *Store, h http.Handler) {
 	p.store, p.Addr, p.stop, p.born = store, l.Addr().String(), make(chan struct{}), time.Now().UnixMilli()
+	p.version = 1
 	p.srv = &http.Server{Handler: h}
 	go func() { _ = p.srv.Serve(l) }()
 	p.register()
@@ -109,11 +120,71 @@
 	}
 	if p.Engine {
 		entry["stage"] = "both"
-		entry["models"] = []any{map[string]any{"name": Model, "version": 1, "adapters": []any{}}}
+		entry["models"] = p.models()
 	}
 	p.store.Put("servers", p.ID, entry)
 }
 
+func (p *Replica) models() []any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return []any{map[string]any{"name": Model, "version": p.version, "adapters": []any{}}}
+}
+
+// report answers with the state of an engine.
+func (p *Replica) report(w http.ResponseWriter) {
+	models := p.models()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"stage": "both", "models": models, "busy": p.busy, "seq": p.orders, "queued": 0, "active": 0,
+		"kv-used": 0, "kv-total": 46180, "handles": 0, "born": p.born,
+	})
+}
+
+// order carries out an order to load weights.
+func (p *Replica) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Version  int  `json:"version"`
+		Expected *int `json:"expected"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.version == o.Version:
+		return
+	case p.busy || o.Expected != nil && *o.Expected != p.orders:
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	p.orders++
+	p.busy = true
+	time.AfterFunc(p.LoadTime, func() {
+		p.mu.Lock()
+		p.busy, p.version = false, o.Version
+		p.mu.Unlock()
+		if !p.Ended() {
+			p.register()
+		}
+	})
+	if p.OnOrder != nil {
+		p.OnOrder()
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// Version returns the version of an engine's weights, and whether it loads others.
+func (p *Replica) Version() (version int, busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.version, p.busy
+}
+
 // ServeHTTP serves what reaches the replica.
 func (p *Replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -121,11 +192,10 @@
 		w.Header().Set(HeaderReplica, p.ID)
 		return
 	case r.URL.Path == "/report":
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(map[string]any{
-			"stage": "both", "models": []any{map[string]any{"name": Model, "version": 1, "adapters": []any{}}},
-			"busy": false, "seq": 0, "queued": 0, "active": 0, "kv-used": 0, "kv-total": 46180, "handles": 0, "born": p.born,
-		})
+		p.report(w)
+		return
+	case r.URL.Path == "/order":
+		p.order(w, r)
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -143,6 +213,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if _, busy := p.Version(); busy {
+		w.Header().Set(HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	p.Serve(w, r, body)
 }
 
@@ -162,7 +237,8 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without it
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
-	h.Set(HeaderVersions, "1")
+	version, _ := p.Version()
+	h.Set(HeaderVersions, strconv.Itoa(version))
 	h.Set(HeaderStamp, p.Stamp())
 	rc := http.NewResponseController(w)
 	for n := after + 1; n <= last; n++ {
