--- /dev/null
+++ b/review/kit3/world.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// template is the template of the settings, and program the program that the
+	// deploy file starts.
+	template = "deploy/settings.jsonc"
+	program  = "target/cumincoved"
+	// startTimeout bounds the wait until a machine is ready.
+	startTimeout = 20 * time.Second
+	// configVersion is the version of the config in all cases.
+	configVersion = 3
+	// hostname is the host of all routes, and apiKey the key of tenantName.
+	hostname   = "ficu95.example"
+	apiKey     = "i9n73hh2b9wu3fexd9dn"
+	tenantName = "kaje80"
+)
+
+// world is one small deployment with its stand-ins.
+type world struct {
+	rec *record
+	// trouble is false if the case is played without its disruption.
+	trouble  bool
+	dir      string
+	store    *store
+	ctx      context.Context
+	stop     context.CancelFunc
+	machines []*machine
+
+	mu      sync.Mutex
+	servers []*http.Server
+	relays  []*relay
+}
+
+func newWorld(rec *record, trouble bool) (*world, error) {
+	dir, err := os.MkdirTemp("", "cumincove-review")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{rec: rec, trouble: trouble, dir: dir, store: newStore()}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	return w, nil
+}
+
+// close ends all processes that were started, and the stand-ins.
+func (w *world) close() {
+	w.stop()
+	for _, m := range w.machines {
+		m.kill()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.servers {
+		s.Close()
+	}
+	for _, r := range w.relays {
+		r.close()
+	}
+	os.RemoveAll(w.dir)
+}
+
+// serve serves a handler at a free loopback address, which it returns.
+func (w *world) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	s := &http.Server{Handler: h}
+	w.mu.Lock()
+	w.servers = append(w.servers, s)
+	w.mu.Unlock()
+	go s.Serve(l)
+	return l.Addr().String(), nil
+}
+
+func (w *world) relay(target string) (*relay, error) {
+	r, err := newRelay(target, w.sourceOf)
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relays = append(w.relays, r)
+	return r, nil
+}
+
+// addReplica starts a replica that registers itself.
+func (w *world) addReplica(o replicaOptions) error {
+	r, err := newReplica(w.rec, w.store, o)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.servers = append(w.servers, r.server)
+	w.mu.Unlock()
+	go r.beat(w.ctx)
+	return nil
+}
+
+// machine is one machine of the system with its process.
+type machine struct {
+	name, zone string
+	// front, readiness and peers are addresses of its process.
+	front, readiness, peers string
+	// toStore carries its calls to the store, and fromPeers the other machines' calls
+	// to it.
+	toStore, fromPeers *relay
+	cmd                *exec.Cmd
+	exited             chan struct{}
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
+
+// settings fills in the template of the deploy file. A call to peers goes through a
+// relay, for which advertise is added.
+func settings(fields map[string]string, advertise string) (string, error) {
+	text, err := os.ReadFile(template)
+	if err != nil {
+		return "", err
+	}
+	var missing error
+	out := placeholder.ReplaceAllStringFunc(string(text), func(m string) string {
+		name := strings.Trim(m, "{}")
+		value, ok := fields[name]
+		if !ok {
+			missing = fmt.Errorf("the template has the unknown field %q", name)
+		}
+		return value
+	})
+	peers := regexp.MustCompile(`"peers": "[^"]*"`)
+	return peers.ReplaceAllString(out, fmt.Sprintf(`"peers": %q, "advertise_peers": %q`, fields["peers"], advertise)), missing
+}
+
+// addMachine starts a machine.
+func (w *world) addMachine(name, zone string) (*machine, error) {
+	m := &machine{name: name, zone: zone, exited: make(chan struct{})}
+	addrs := make([]string, 5)
+	for i := range addrs {
+		addr, err := freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		addrs[i] = addr
+	}
+	m.front, m.readiness, m.peers = addrs[0], addrs[1], addrs[3]
+	storeAddr, err := w.serve(w.store.handler(name))
+	if err != nil {
+		return nil, err
+	}
+	duties, err := w.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.rec.printf("platform: %s %s from %s, epoch %s", r.Method, r.URL.Path, r.Header.Get("Cumincove-Duty-Holder"), r.Header.Get("Cumincove-Fence-Token"))
+	}))
+	if err != nil {
+		return nil, err
+	}
+	if m.toStore, err = w.relay(storeAddr); err != nil {
+		return nil, err
+	}
+	if m.fromPeers, err = w.relay(m.peers); err != nil {
+		return nil, err
+	}
+	text, err := settings(map[string]string{
+		"node-name": name, "zone": zone, "listen.front": m.front, "listen.readiness": m.readiness,
+		"listen.directory": addrs[2], "ip": "127.0.0.1", "port-range.0": "0", "platform.addr": m.toStore.addr(),
+		"cloud-api.addr": duties, "limits.cpu-share": "0.8", "limits.memory-mb": "314", "bounds.report-window-s": "5",
+		"peers": m.peers,
+	}, m.fromPeers.addr())
+	if err != nil {
+		return nil, err
+	}
+	text = strings.ReplaceAll(text, `"127.0.0.1:9464"`, fmt.Sprintf("%q", addrs[4]))
+	file := filepath.Join(w.dir, name+".jsonc")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	if err := w.start(m, file); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.machines = append(w.machines, m)
+	return m, nil
+}
+
+// started returns the machines that were started.
+func (w *world) started() []*machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.machines)
+}
+
+func (w *world) start(m *machine, file string) error {
+	log, err := os.Create(filepath.Join(w.dir, m.name+".log"))
+	if err != nil {
+		return err
+	}
+	if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
+		log.Close()
+		if log, err = os.Create(filepath.Join(dir, m.name+".log")); err != nil {
+			return err
+		}
+	}
+	m.cmd = exec.Command(program, "-c", file)
+	m.cmd.Stdout, m.cmd.Stderr = log, log
+	m.cmd.Env = append([]string{"CUMINCOVE_NODE_FILE=" + file}, "PATH="+os.Getenv("PATH"), "HOME="+os.Getenv("HOME"))
+	if err := m.cmd.Start(); err != nil {
+		return err
+	}
+	w.rec.printf("machine %s started, process %d, clients at %s", m.name, m.cmd.Process.Pid, m.front)
+	go func() {
+		err := m.cmd.Wait()
+		w.rec.printf("machine %s: its process ended: %v", m.name, err)
+		log.Close()
+		close(m.exited)
+	}()
+	return nil
+}
+
+// kill ends the machine's process if it still runs.
+func (m *machine) kill() {
+	select {
+	case <-m.exited:
+		return
+	default:
+	}
+	_ = m.cmd.Process.Signal(syscall.SIGCONT) // it may have ended meanwhile
+	_ = m.cmd.Process.Kill()
+	<-m.exited
+}
+
+// awaitReady waits until all machines are ready.
+func (w *world) awaitReady() error {
+	deadline := time.Now().Add(startTimeout)
+	for _, m := range w.machines {
+		for !m.ready() {
+			if time.Now().After(deadline) {
+				return errors.New("a machine is not ready: " + m.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	w.rec.printf("all machines are ready")
+	return nil
+}
+
+func (m *machine) ready() bool {
+	c := http.Client{Timeout: time.Second}
+	resp, err := c.Get("http://" + m.readiness + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
