--- a/review/kit3/config.go
+++ b/review/kit3/config.go
@@ -30,10 +30,13 @@
 	}
 }
 
-// putConfig writes the config as the operator does.
-func (w *world) putConfig(routes ...route) {
+// putConfig writes the first config.
+func (w *world) putConfig(routes ...route) { w.putRoutes(configVersion, routes...) }
+
+// putRoutes writes a version of the config as the operator does.
+func (w *world) putRoutes(version int, routes ...route) {
 	w.store.put("op", "config", map[string]any{
-		"version": configVersion,
+		"version": version,
 		"routes":  routes,
 		"services": []map[string]any{
 			{
@@ -41,11 +44,12 @@
 				"engine": map[string]any{"slots": replicaSlots, "kv-capacity": 46180, "models": []map[string]any{{"name": modelName}}},
 			},
 			{"name": plainService, "health-path": "/healthz", "max-conns": 100, "protocol": "h1", "tls": false},
+			{"name": "wuno97c", "health-path": "/healthz", "max-conns": 100, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{
 			"max-header-bytes": 16384, "max-body-bytes": 33554432, "header-timeout-ms": 3000, "idle-timeout-ms": 15000,
 		},
 		"tenants": []map[string]any{{"name": tenantName, "api-keys": []string{apiKey}, "priority": 1}},
 	})
-	w.rec.printf("operator: config %d", configVersion)
+	w.rec.printf("operator: the store has confirmed config %d", version)
 }
--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"replaced-owner": replacedOwner,
 	"planned-stop":   plannedStop,
+	"many-readers":   manyReaders,
 }
 
 func main() {
--- a/review/kit3/replacedowner.go
+++ b/review/kit3/replacedowner.go
@@ -107,10 +107,15 @@
 	return o.broken > 0, nil
 }
 
-// startRollouts starts three machines, eight engines and two replicas of the reward
-// service.
+// startRollouts starts the machines and replicas of the case.
 func (w *world) startRollouts() error {
 	w.putConfig(rolloutRoute(), scoreRoute())
+	return w.startMachines(func(*http.Request) time.Duration { return 80 * time.Millisecond })
+}
+
+// startMachines starts three machines, eight engines and two replicas of the plain
+// service.
+func (w *world) startMachines(work func(*http.Request) time.Duration) error {
 	for n := range 8 {
 		err := w.addReplica(replicaOptions{
 			id: fmt.Sprintf("i-e%07d", n), service: engineService, zone: zoneOf(n), model: modelName,
@@ -121,10 +126,7 @@
 		}
 	}
 	for n := range 2 {
-		err := w.addReplica(replicaOptions{
-			id: fmt.Sprintf("i-s%07d", n), service: plainService, zone: zoneOf(n),
-			work: func(*http.Request) time.Duration { return 80 * time.Millisecond },
-		})
+		err := w.addReplica(replicaOptions{id: fmt.Sprintf("i-s%07d", n), service: plainService, zone: zoneOf(n), work: work})
 		if err != nil {
 			return err
 		}
