--- a/review/kit3/config.go
+++ b/review/kit3/config.go
@@ -41,7 +41,7 @@
 		"services": []map[string]any{
 			{
 				"name": engineService, "health-path": "/healthz", "max-conns": 140, "protocol": "h1", "tls": false,
-				"engine": map[string]any{"slots": replicaSlots, "kv-capacity": 46180, "models": []map[string]any{{"name": modelName}}},
+				"engine": map[string]any{"slots": replicaSlots, "kv-capacity": 46180, "models": modelList()},
 			},
 			{"name": plainService, "health-path": "/healthz", "max-conns": 100, "protocol": "h1", "tls": false},
 			{"name": "wuno97c", "health-path": "/healthz", "max-conns": 100, "protocol": "h1", "tls": false},
@@ -53,3 +53,12 @@
 	})
 	w.rec.printf("operator: the store has confirmed config %d", version)
 }
+
+// modelList is the list of the models in the config.
+func modelList() []map[string]any {
+	var list []map[string]any
+	for _, name := range models {
+		list = append(list, map[string]any{"name": name})
+	}
+	return list
+}
--- a/review/kit3/record.go
+++ b/review/kit3/record.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,6 +13,8 @@
 	mu    sync.Mutex
 	f     *os.File
 	start time.Time
+	// quiet leaves out what replicas begin and end.
+	quiet atomic.Bool
 }
 
 func newRecord(path string) (*record, error) {
--- a/review/kit3/replacedowner.go
+++ b/review/kit3/replacedowner.go
@@ -118,8 +118,8 @@
 func (w *world) startMachines(work func(*http.Request) time.Duration) error {
 	for n := range 8 {
 		err := w.addReplica(replicaOptions{
-			id: fmt.Sprintf("i-e%07d", n), service: engineService, zone: zoneOf(n), model: modelName,
-			eventGap: fastestGap + time.Duration(n)*gapStep, events: lengthOf,
+			id: fmt.Sprintf("i-e%07d", n), service: engineService, zone: zoneOf(n), engine: true,
+			eventGap: fastestGap + time.Duration(n)*gapStep, events: w.events, runs: w.runs,
 		})
 		if err != nil {
 			return err
--- a/review/kit3/replica.go
+++ b/review/kit3/replica.go
@@ -37,20 +37,23 @@
 
 // replicaOptions describe a replica.
 type replicaOptions struct {
-	id, service, zone, model string
+	id, service, zone string
+	// engine is set for a model engine, which serves all models.
+	engine bool
 	// eventGap is the time between two events of an engine's stream, and events
 	// returns the number of events of an item.
 	eventGap time.Duration
 	events   func(id string) int
 	// work returns how long a plain replica works on a request.
 	work func(r *http.Request) time.Duration
+	// runs, if set, notes the runs of an engine.
+	runs *runLog
 	// dropped, if set, is called when a plain replica drops a request because its
 	// channel closed.
 	dropped func(id string)
 }
 
-// replica is a server of a service: a model engine if it has a model, and a plain one
-// otherwise.
+// replica is a server of a service.
 type replica struct {
 	o      replicaOptions
 	rec    *record
@@ -83,7 +86,7 @@
 			"service": r.o.service, "addr": r.addr, "zone": r.o.zone, "version": "v1", "slots": replicaSlots,
 			"state": "ready", "cold-left-ms": 0, "seq": r.seq.Add(1), "born": r.born,
 		}
-		if r.o.model != "" {
+		if r.o.engine {
 			entry["stage"] = "both"
 			entry["models"] = r.models()
 		}
@@ -97,7 +100,11 @@
 }
 
 func (r *replica) models() []map[string]any {
-	return []map[string]any{{"name": r.o.model, "version": weightVersion, "adapters": []string{}}}
+	var list []map[string]any
+	for _, name := range models {
+		list = append(list, map[string]any{"name": name, "version": weightVersion, "adapters": []string{}})
+	}
+	return list
 }
 
 // ServeHTTP serves one request.
@@ -147,7 +154,7 @@
 	}
 	n := r.runs.Add(1)
 	w.Header().Set(headerStamp, fmt.Sprintf("%s.%d", r.o.id, n))
-	if r.o.model != "" {
+	if r.o.engine {
 		r.stream(ctx, w, hr, id)
 		return
 	}
@@ -158,27 +165,32 @@
 func (r *replica) answer(ctx context.Context, w http.ResponseWriter, hr *http.Request, id string) {
 	began := time.Now()
 	work := r.o.work(hr)
-	r.rec.printf("replica %s begins %s %s (%v of work)", r.o.id, id, hr.URL.Path, work)
+	r.note("replica %s begins %s %s (%v of work)", r.o.id, id, hr.URL.Path, work)
 	select {
 	case <-time.After(work):
 	case <-ctx.Done():
 		if r.o.dropped != nil {
 			r.o.dropped(id)
 		}
-		r.rec.printf("replica %s drops %s after %v of %v of work: %v", r.o.id, id, time.Since(began).Round(time.Millisecond), work, ctx.Err())
+		r.note("replica %s drops %s after %v of %v of work: %v", r.o.id, id, time.Since(began).Round(time.Millisecond), work, ctx.Err())
 		return
 	}
 	body := "answer to " + id + "\n"
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, err := io.WriteString(w, body)
-	r.rec.printf("replica %s answers %s after %v: %v", r.o.id, id, time.Since(began).Round(time.Millisecond), err)
+	r.note("replica %s answers %s after %v: %v", r.o.id, id, time.Since(began).Round(time.Millisecond), err)
 }
 
 // stream generates the events of an item that follow Last-Event-Id.
 func (r *replica) stream(ctx context.Context, w http.ResponseWriter, hr *http.Request, id string) {
 	after, _ := strconv.Atoi(hr.Header.Get("Last-Event-Id")) // zero without the header
 	last := r.o.events(id)
-	r.rec.printf("engine %s begins %s after event %d of %d", r.o.id, id, after, last)
+	r.note("engine %s begins %s after event %d of %d", r.o.id, id, after, last)
+	finished := false
+	if r.o.runs != nil {
+		r.o.runs.begin(id)
+		defer func() { r.o.runs.end(id, finished) }()
+	}
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set(headerVersion, strconv.Itoa(weightVersion))
@@ -188,7 +200,7 @@
 		select {
 		case <-time.After(gap):
 		case <-ctx.Done():
-			r.rec.printf("engine %s drops %s after event %d", r.o.id, id, n-1)
+			r.note("engine %s drops %s after event %d", r.o.id, id, n-1)
 			return
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventText(id, n)); err != nil {
@@ -196,7 +208,15 @@
 		}
 		_ = rc.Flush() // the next write fails, too
 	}
-	r.rec.printf("engine %s ends %s after event %d", r.o.id, id, last)
+	finished = true
+	r.note("engine %s ends %s after event %d", r.o.id, id, last)
+}
+
+// note records what the replica does, unless the record is quiet.
+func (r *replica) note(format string, args ...any) {
+	if !r.rec.quiet.Load() {
+		r.rec.printf(format, args...)
+	}
 }
 
 // eventText is the data of an event.
--- a/review/kit3/world.go
+++ b/review/kit3/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -42,6 +43,10 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	machines []*machine
+	// events returns the number of events of an item, and runs, if set, notes the
+	// engines' runs.
+	events func(id string) int
+	runs   *runLog
 
 	mu      sync.Mutex
 	servers []*http.Server
@@ -53,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: rec, trouble: trouble, dir: dir, store: newStore()}
+	w := &world{rec: rec, trouble: trouble, dir: dir, store: newStore(), events: lengthOf}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	return w, nil
 }
@@ -125,14 +130,26 @@
 	exited             chan struct{}
 }
 
+// firstPort and lastPort bound the ports of the machines' addresses. They are below
+// those that the kernel assigns, so that nothing else takes one before the process.
+const (
+	firstPort = 12_000
+	lastPort  = 30_000
+	maxTries  = 200
+)
+
 // freeAddr returns a loopback address that was free a moment ago.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range maxTries {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		l.Close()
+		return addr, nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 var placeholder = regexp.MustCompile(`\{\{([^}]*)\}\}`)
@@ -215,17 +232,21 @@
 	return slices.Clone(w.machines)
 }
 
+// restart starts a machine's process again, with the same settings.
+func (w *world) restart(m *machine) error {
+	m.exited = make(chan struct{})
+	return w.start(m, filepath.Join(w.dir, m.name+".jsonc"))
+}
+
 func (w *world) start(m *machine, file string) error {
-	log, err := os.Create(filepath.Join(w.dir, m.name+".log"))
+	dir := w.dir
+	if logs := os.Getenv("REVIEW_LOGS"); logs != "" {
+		dir = logs
+	}
+	log, err := os.OpenFile(filepath.Join(dir, m.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
-	if dir := os.Getenv("REVIEW_LOGS"); dir != "" {
-		log.Close()
-		if log, err = os.Create(filepath.Join(dir, m.name+".log")); err != nil {
-			return err
-		}
-	}
 	m.cmd = exec.Command(program, "-c", file)
 	m.cmd.Stdout, m.cmd.Stderr = log, log
 	m.cmd.Env = append([]string{"CUMINCOVE_NODE_FILE=" + file}, "PATH="+os.Getenv("PATH"), "HOME="+os.Getenv("HOME"))
@@ -233,11 +254,12 @@
 		return err
 	}
 	w.rec.printf("machine %s started, process %d, clients at %s", m.name, m.cmd.Process.Pid, m.front)
+	exited := m.exited
 	go func() {
 		err := m.cmd.Wait()
 		w.rec.printf("machine %s: its process ended: %v", m.name, err)
 		log.Close()
-		close(m.exited)
+		close(exited)
 	}()
 	return nil
 }
