--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -25,7 +25,6 @@
 
 // cases are the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(*world) (broken bool, err error){
-	"replaced-owner":  replacedOwner,
 	"planned-stop":    plannedStop,
 	"many-readers":    manyReaders,
 	"restarted-owner": restartedOwner,
--- a/review/kit3/restartedowner.go
+++ b/review/kit3/restartedowner.go
@@ -18,6 +18,11 @@
 	// and killDelay the time from their submission to the kill.
 	openPerModel = 12
 	killDelay    = 3 * time.Second
+	// earlierItem and openItem are the numbers of events of items, and longItem that in
+	// the other cases.
+	earlierItem = 1
+	openItem    = 70
+	longItem    = 95
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay = 500 * time.Millisecond
 	// batchBudget is the time budget of a batch, contact is contact-ms, and idleBound
@@ -142,9 +147,9 @@
 	w.putConfig(rolloutRoute(), scoreRoute())
 	w.events = func(id string) int {
 		if id[0] == 'a' { // of an earlier batch
-			return 1
+			return earlierItem
 		}
-		return 70
+		return openItem
 	}
 	w.rec.quiet.Store(true)
 	return w.startMachines(func(*http.Request) time.Duration { return 5 * time.Millisecond })
