--- a/review/kit3/world.go
+++ b/review/kit3/world.go
@@ -158,46 +158,68 @@
 	return out, missing
 }
 
-// addMachine starts a machine.
+// addMachine starts a machine. If its process ends at once, because something else has
+// taken one of its ports, it starts it at others.
 func (w *world) addMachine(name, zone string) (*machine, error) {
-	m := &machine{name: name, zone: zone, exited: make(chan struct{})}
-	addrs := make([]string, 5)
-	for i := range addrs {
-		addr, err := freeAddr()
-		if err != nil {
-			return nil, err
-		}
-		addrs[i] = addr
-	}
-	m.front, m.readiness = addrs[0], addrs[1]
 	storeAddr, err := w.serve(w.store.handler(name))
 	if err != nil {
 		return nil, err
 	}
-	duties, err := w.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	duties, err := w.serve(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		w.rec.printf("platform: %s %s from %s, epoch %s", r.Method, r.URL.Path, r.Header.Get("Cumincove-Duty-Holder"), r.Header.Get("Cumincove-Fence-Token"))
 	}))
 	if err != nil {
 		return nil, err
 	}
+	for range maxStarts {
+		m := &machine{name: name, zone: zone, exited: make(chan struct{})}
+		file, err := w.writeSettings(m, storeAddr, duties)
+		if err != nil {
+			return nil, err
+		}
+		if err := w.start(m, file); err != nil {
+			return nil, err
+		}
+		select {
+		case <-m.exited:
+		case <-time.After(startWatch):
+			w.machines = append(w.machines, m)
+			return m, nil
+		}
+	}
+	return nil, errors.New("the process of " + name + " ends at once")
+}
+
+const (
+	// maxStarts is the number of tries to start a machine, and startWatch the time
+	// within which a process ends that can't listen.
+	maxStarts  = 3
+	startWatch = 150 * time.Millisecond
+)
+
+// writeSettings writes the settings file of a machine at free addresses, and returns its
+// path.
+func (w *world) writeSettings(m *machine, storeAddr, duties string) (string, error) {
+	addrs := make([]string, 5)
+	for i := range addrs {
+		addr, err := freeAddr()
+		if err != nil {
+			return "", err
+		}
+		addrs[i] = addr
+	}
+	m.front, m.readiness = addrs[0], addrs[1]
 	text, err := settings(map[string]string{
-		"node-name": name, "zone": zone, "listen.front": m.front, "listen.readiness": m.readiness,
+		"node-name": m.name, "zone": m.zone, "listen.front": m.front, "listen.readiness": m.readiness,
 		"listen.directory": addrs[2], "ip": "127.0.0.1", "port-range.0": portOf(addrs[3]), "platform.addr": storeAddr,
 		"cloud-api.addr": duties, "limits.cpu-share": "0.8", "limits.memory-mb": "314", "bounds.report-window-s": "5",
 	})
 	if err != nil {
-		return nil, err
+		return "", err
 	}
 	text = strings.ReplaceAll(text, operatorsPort, ":"+portOf(addrs[4])) // all machines have one address here
-	file := filepath.Join(w.dir, name+".jsonc")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	if err := w.start(m, file); err != nil {
-		return nil, err
-	}
-	w.machines = append(w.machines, m)
-	return m, nil
+	file := filepath.Join(w.dir, m.name+".jsonc")
+	return file, os.WriteFile(file, []byte(text), 0o600)
 }
 
 // restart starts a machine's process again, with the same settings.
