--- a/review/kit3/main.go
+++ b/review/kit3/main.go
@@ -2,14 +2,13 @@
 // program as separate processes, with stand-ins for the platform's store, its duties
 // interface, the replicas and the clients, on loopback addresses and the real clock.
 //
-// Usage: kit3 CASE FOLDER. It writes record.txt to the folder. The exit code is 1 if
+// Usage: kit3 CASE RECORD, with the path of the record. The exit code is 1 if
 // the case's rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -32,15 +31,15 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: kit3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: kit3 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
 // play plays one case and returns the exit code.
-func play(name, folder string) int {
-	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+func play(name, path string) int {
+	rec, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
--- a/review/kit3/restartedowner.go
+++ b/review/kit3/restartedowner.go
@@ -109,6 +109,7 @@
 		return false, err
 	}
 	w.submitEarlier()
+	w.rec.quiet.Store(false)
 	open, err := w.submitOpen()
 	if err != nil {
 		return false, err
