Steps: a batch counts as stored only if all its rows are the store's

Cause: resolve, after a write with an unknown outcome or a conflict, took the batch for stored when the first result at its position had the same ID. The successor runs the same samples, so that is the likely case. The batch then sat in memory, from which reads are answered.

Now the rows read must equal the batch's rows, all of them, byte for byte: a batch is one transaction. If other results stand there, the runner stops: replaced, or, if the owner's row is unchanged, superseded, and the step is claimed again.

Weighed: a mark of the writer in the rows (a change of rows for old builds, and no more exact: what counts is what the store holds). Looked at for the same belief, without a fault: takeOver, writeOwner (incarnation and version), saved texts (versions only, fenced by the owner), the end of a step, claims of package dedup, orders, leases and rollout owners (a nonce each).

The tests' handoff now keeps an unreachable instance from calling others, too.

--- a/controller/steps/cluster_test.go
+++ b/controller/steps/cluster_test.go
@@ -60,6 +60,9 @@
 	handoff fakeHandoff
 	// speeds are the Speeds of all instances; nil means that all are unknown.
 	speeds steps.Speeds
+	// countScores makes the score of each call a different one.
+	countScores bool
+	scoreCalls  atomic.Int64
 	// members is the table of the members' rows. If it is nil, setMembers sets the
 	// members.
 	members *fakeplatform.Platform
@@ -159,7 +162,11 @@
 	in.Controller = steps.New(steps.Options{
 		Steps: in.table, Shared: cluster.fake.Platform().Table, Engines: cluster.engines, Views: in.views,
 		Score: func(_ context.Context, s steps.ScoreCall) (string, durable.ScoreEnd) {
-			return "score of " + s.ID, durable.ScoreDone
+			score := "score of " + s.ID
+			if n := cluster.scoreCalls.Add(1); cluster.countScores {
+				score += fmt.Sprint(" at call ", n)
+			}
+			return score, durable.ScoreDone
 		},
 		IdleConnections: func(string) int { return 0 },
 		Handoff:         &cluster.handoff, Speeds: cluster.speeds,
--- a/controller/steps/fakeengines_test.go
+++ b/controller/steps/fakeengines_test.go
@@ -23,6 +23,9 @@
 	gone map[string]bool
 	// priorities contains, by sample, the priority of each request, or "none".
 	priorities map[string][]string
+	// pause, if set, returns the time between two events of a sample, given how often
+	// the sample was started before.
+	pause func(sample string, run int) time.Duration
 }
 
 func newFakeEngines() *fakeEngines {
@@ -65,10 +68,14 @@
 		priority = fmt.Sprint(*g.Priority)
 	}
 	e.priorities[g.ID] = append(e.priorities[g.ID], priority)
+	pause := eventPeriod
+	if e.pause != nil {
+		pause = e.pause(g.ID, len(e.at[g.ID])-1)
+	}
 	e.mu.Unlock()
 	for i := g.LastIndex + 1; i <= eventCount; i++ {
 		select {
-		case <-time.After(eventPeriod):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return infra.ErrStreamInterrupted
 		}
--- a/controller/steps/fakehandoff_test.go
+++ b/controller/steps/fakehandoff_test.go
@@ -41,6 +41,14 @@
 	return in
 }
 
+// isUnreachable reports whether an instance does not reach the others.
+func (cluster *testCluster) isUnreachable(name string) bool {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	in := cluster.instances[name]
+	return in != nil && in.unreachable.Load()
+}
+
 func (h *fakeHandoff) Alive(_ context.Context, m view.Member) (bool, error) {
 	in := h.cluster.process(m)
 	if in == nil {
@@ -53,6 +61,9 @@
 	if !h.enabled || h.loseRequests.Load() {
 		return errors.New("request lost")
 	}
+	if h.cluster.isUnreachable(from.Instance) {
+		return errUnreachable
+	}
 	h.offers.Add(1)
 	in := h.cluster.process(m)
 	if in == nil {
--- a/controller/steps/faultytables_test.go
+++ b/controller/steps/faultytables_test.go
@@ -13,6 +13,11 @@
 type faultyTables struct {
 	infra.Tables
 	down atomic.Bool
+	// unknownWhenDown makes the outcome of a transaction unknown while the store is
+	// down: the connection ended after the request was sent.
+	unknownWhenDown atomic.Bool
+	// stateDown makes reads of the rows of a step's state fail.
+	stateDown atomic.Bool
 	// slow is the delay of reads, in nanoseconds.
 	slow atomic.Int64
 	// interceptCommit, if set, is called instead of executing a transaction. It can
@@ -36,7 +41,7 @@
 }
 
 func (t *faultyTable) List(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
-	if t.faults.down.Load() {
+	if t.faults.down.Load() || t.faults.stateDown.Load() && prefix == "state/" {
 		return nil, infra.ErrUnavailable
 	}
 	time.Sleep(time.Duration(t.faults.slow.Load()))
@@ -44,6 +49,9 @@
 }
 
 func (t *faultyTable) Commit(ctx context.Context, ops ...infra.Op) error {
+	if t.faults.down.Load() && t.faults.unknownWhenDown.Load() {
+		return infra.ErrUnknownOutcome
+	}
 	if t.faults.down.Load() {
 		return infra.ErrUnavailable
 	}
--- a/controller/steps/model_test.go
+++ b/controller/steps/model_test.go
@@ -24,6 +24,10 @@
 // maxDelay is the longest delay of a write that is executed late.
 const maxDelay = 3 * time.Second
 
+// stateDownTime is how much longer than the other rows those of the state are
+// unreadable.
+const stateDownTime = 2 * time.Second
+
 // event is a disturbance of one instance.
 type event struct {
 	kind eventKind
@@ -45,9 +49,13 @@
 	eventKill                     // the process ends
 	eventRestart                  // the process ends, and one with the same name starts
 	eventLeave                    // the process hands its steps off and ends
-	eventKinds
+	eventPart                     // as eventFreeze, and the rows of the steps' states are unreadable for longer
 )
 
+// eventKinds is the number of kinds that TestEveryStepOfLargeFleetIsRunByOneInstance
+// plays.
+const eventKinds = eventLeave + 1
+
 // drawnKinds has the kinds that move steps without ending an instance more often, so
 // that instances are left for the whole schedule.
 var drawnKinds = []eventKind{
@@ -87,6 +95,10 @@
 	// the accepted steps.
 	left, steps []string
 	nextProcess uint64
+	// samples is the number of samples of a step.
+	samples int
+	// onSubmit, if set, is called with the ID of each accepted step.
+	onSubmit func(id string)
 }
 
 // samplesPerStep is so large that no step ends during a schedule.
@@ -96,7 +108,7 @@
 // time.
 func playSchedule(t *testing.T, s schedule) (err error) {
 	bubble.Test(t, func(t *testing.T) {
-		p := &player{seed: s.seed, nextProcess: 2}
+		p := &player{seed: s.seed, nextProcess: 2, samples: samplesPerStep}
 		for i := range s.instances {
 			p.left = append(p.left, fmt.Sprintf("i%03d", i))
 		}
@@ -126,6 +138,10 @@
 		p.submit(name)
 	case eventCut:
 		p.cutFor(name, e.lasts)
+	case eventPart:
+		in.table.stateDown.Store(true)
+		time.AfterFunc(e.lasts+stateDownTime, func() { in.table.stateDown.Store(false) })
+		fallthrough
 	case eventFreeze:
 		in.unreachable.Store(true)
 		p.cutFor(name, e.lasts)
@@ -158,11 +174,22 @@
 	in := p.instances[name]
 	ctx, cancel := context.WithTimeout(p.t.Context(), 500*time.Millisecond)
 	defer cancel()
-	if in.Accept(ctx, spec(id, samplesPerStep)) == nil {
-		p.steps = append(p.steps, id)
+	if in.Accept(ctx, spec(id, p.samples)) != nil {
+		return
+	}
+	p.steps = append(p.steps, id)
+	if p.onSubmit != nil {
+		p.onSubmit(id)
 	}
 }
 
+// current returns the last process of a name.
+func (p *player) current(name string) *instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.instances[name]
+}
+
 // remove ends an instance, unless only one is left.
 func (p *player) remove(name string, end func(name string)) {
 	if len(p.left) == 1 {
@@ -218,6 +245,7 @@
 		in := p.instances[name]
 		in.table.down.Store(false)
 		in.table.interceptCommit.Store(nil)
+		in.table.stateDown.Store(false)
 		in.unreachable.Store(false)
 	}
 }
--- a/controller/steps/rows.go
+++ b/controller/steps/rows.go
@@ -128,6 +128,15 @@
 // resultKey returns the prefix of the keys of a result's rows.
 func resultKey(position int) string { return fmt.Sprintf("%s%06d", resultPrefix, position) }
 
+// lastKeyBefore returns a key after those of all positions before the given one, and
+// before its own.
+func lastKeyBefore(position int) string {
+	if position == 0 {
+		return ""
+	}
+	return resultKey(position-1) + "/~"
+}
+
 // specOps returns the operations that write the samples. Each value is a JSON list
 // of as many samples as fit into one row, or of a single larger one.
 func specOps(tag string, samples []durable.Sample) ([]infra.Op, error) {
@@ -198,11 +207,7 @@
 
 // readResults reads one page of results, starting at a position.
 func readResults(ctx context.Context, t infra.Table, from int) ([]durable.Result, error) {
-	after := ""
-	if from > 0 {
-		after = resultKey(from-1) + "/99"
-	}
-	rows, err := t.List(ctx, resultPrefix, after, page)
+	rows, err := t.List(ctx, resultPrefix, lastKeyBefore(from), page)
 	if err != nil {
 		return nil, err
 	}
--- a/controller/steps/runner_store.go
+++ b/controller/steps/runner_store.go
@@ -1,8 +1,10 @@
 package steps
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cumincove/cumincove/durable"
@@ -42,27 +44,24 @@
 // step.
 func (r *runner) store(ctx context.Context, b *durable.Batch) bool {
 	began := r.c.o.Clock.Now()
-	ops, err := r.resultOps(b)
+	puts, err := resultOps(b)
 	if err != nil {
 		r.log.Error("results not encoded", "error", err)
 		return false
 	}
+	ops := append([]infra.Op{infra.CheckVersion(ownerKey, r.ownerVersion)}, puts...)
 	var pause backoff
 	for {
-		err := r.commit(ctx, ops)
-		switch infra.EffectOf(err) {
+		outcome := infra.EffectOf(r.commit(ctx, ops))
+		if outcome == effect.Conflict || outcome == effect.Unknown {
+			outcome = r.resolve(ctx, b, puts)
+		}
+		switch outcome {
 		case effect.Done:
 			r.batchStored(b, began)
 			return true
-		case effect.Conflict, effect.Unknown:
-			done, owns := r.resolve(ctx, b)
-			if done {
-				r.batchStored(b, began)
-				return true
-			}
-			if !owns {
-				return false
-			}
+		case effect.Conflict:
+			return false
 		}
 		if pause.wait(ctx) != nil {
 			return false
@@ -70,8 +69,9 @@
 	}
 }
 
-func (r *runner) resultOps(b *durable.Batch) ([]infra.Op, error) {
-	ops := []infra.Op{infra.CheckVersion(ownerKey, r.ownerVersion)}
+// resultOps returns the operations that write the results of a batch.
+func resultOps(b *durable.Batch) ([]infra.Op, error) {
+	var ops []infra.Op
 	for i, result := range b.Results {
 		value, err := json.Marshal(result)
 		if err != nil {
@@ -88,34 +88,64 @@
 	return r.t.Commit(ctx, ops...)
 }
 
-// resolve reads whether a batch is stored, and if not, whether this instance still
-// owns the step. If another owner has stored a result at the batch's position, done
-// and owns are both false.
-func (r *runner) resolve(ctx context.Context, b *durable.Batch) (done, owns bool) {
+// resolve reads what a commit of a batch, which puts rows, has done: effect.Done if
+// the batch is stored, effect.None if it is not and this instance still owns the step,
+// and effect.Conflict if it never will be. It stops the runner in the last case, and
+// returns effect.Unknown if ctx ends.
+//
+// A batch is written in one transaction, so it is stored only if all of its rows are
+// there, byte for byte. The ID of a result proves nothing: another owner runs the same
+// samples, and stores other results of them.
+func (r *runner) resolve(ctx context.Context, b *durable.Batch, puts []infra.Op) effect.Outcome {
 	var pause backoff
 	for ctx.Err() == nil {
-		list, err := r.readBatch(ctx, b)
-		if err == nil && len(list) > 0 {
-			return list[0].ID == b.Results[0].ID, false
+		rows, err := r.readRows(ctx, b.Position, len(puts))
+		if err == nil && containsAll(rows, puts) {
+			return effect.Done
 		}
+		var owns bool
 		if err == nil {
 			owns, err = r.checkOwner(ctx)
-			if err == nil {
-				return false, owns
-			}
+		}
+		switch {
+		case err == nil && !owns:
+			return effect.Conflict
+		case err == nil && len(rows) > 0:
+			r.stopAsSuperseded(b.Position)
+			return effect.Conflict
+		case err == nil:
+			return effect.None
 		}
 		r.log.Warn("outcome of a write still unknown", "position", b.Position, "error", err)
 		if pause.wait(ctx) != nil {
 			break
 		}
 	}
-	return false, false
+	return effect.Unknown
 }
 
-func (r *runner) readBatch(ctx context.Context, b *durable.Batch) ([]durable.Result, error) {
+// readRows reads up to limit rows of results, starting with those of a position.
+func (r *runner) readRows(ctx context.Context, position, limit int) ([]infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return readResults(ctx, r.t, b.Position)
+	return r.t.List(ctx, resultPrefix, lastKeyBefore(position), limit)
+}
+
+// containsAll reports whether rows are those that ops write, in the same order.
+func containsAll(rows []infra.Row, ops []infra.Op) bool {
+	return slices.EqualFunc(rows, ops, func(row infra.Row, op infra.Op) bool {
+		return row.Key == op.Key && bytes.Equal(row.Value, op.Value)
+	})
+}
+
+// stopAsSuperseded stops the runner because other results than its own are stored at a
+// position, although this instance is the owner: a runner that it stopped earlier wrote
+// them late. The next scan claims the step again.
+func (r *runner) stopAsSuperseded(position int) {
+	r.log.Warn("other results are stored", "position", position)
+	r.c.o.Scope.Counter("steps_superseded").Inc(1)
+	r.c.forgetOwner(r.spec.ID)
+	r.stopRunner()
 }
 
 // checkOwner reads whether this instance still owns the step. It stops the runner
