Steps: what was accepted is read back whole, at every size

Found beside it: a body of 4,500,000 bytes was returned as 495,000 bytes without an error; exchanged parts of a body were sent to an engine; a text of 750,000 bytes, or of 380,000 that are escaped in JSON, was never stored and its step never ended.

Causes, all of one kind: what is written in one shape or size is read in another. - Numbers of rows had two digits, and rows were joined in order of their keys. Now they are joined by the number, which reads what earlier builds wrote; new keys (a100 after 99) are in order, too, so that earlier builds read them. The same for the numbers of values and of results. - Read rows were only parsed. The head now has a hash of each value (xxHash64). - A value that was cut by the end of a page was dropped without an error. Values are now read across pages, and one without all rows is an error. - A whole step had 2 s, each try from the start. Now each page of about 1 MB has its own time limit, and what was read stays for the next try and the next claim. - A submission's transactions shared 2 s; each has its own now. - A result larger than a transaction: its text is stored before it, in several transactions, each under the owner's version, and the result has its length and hash.

Tests, failed before (all but TestUndecodableSavedStateStartsAnew, which was not run there): TestStepsCanBeReadBack, TestLargestStepsCanBeReadBack (one, two and 8,000 samples of 33,554,432 bytes, a store that takes 400 ms a response), TestEarlierVersionReadsRows, TestEarlierRowsCanBeReadBack, TestChangedRowsAreNotRun, TestLargeTextsAreStored (750 kB, 100 rows, quotes). The fake table now refuses what the platform's store refuses: 100 entries, 1 MB, 64,000 bytes a row.

--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -130,25 +130,23 @@
 // writes the head and the owner last, because the step exists once the head is
 // stored.
 func (sub *submission) store(ctx context.Context) error {
-	ops, err := specOps(sub.tag, sub.spec.Samples)
+	samples, err := encodeSamples(sub.tag, sub.spec.Samples)
 	if err != nil {
 		return err
 	}
-	h := head{Spec: sub.spec, Tag: sub.tag, Total: len(sub.spec.Samples)}
-	ops = append(ops,
+	h := head{Spec: sub.spec, Tag: sub.tag, Total: len(sub.spec.Samples), Sums: samples.sums}
+	ops := append(samples.ops,
 		infra.PutJSON(headKey, sub.headVersion, h),
 		infra.PutJSON(ownerKey, 0, sub.owner()),
 	)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	if numFittingOps(ops) == len(ops) {
-		return sub.t.Commit(ctx, ops...)
+		return commit(ctx, sub.t, ops)
 	}
 	last := len(ops) - 2
 	if err := commitAll(ctx, sub.t, ops[:last]); err != nil {
 		return errors.Join(infra.ErrUnavailable, err) // rows without a head have no effect
 	}
-	return sub.t.Commit(ctx, ops[last:]...)
+	return commit(ctx, sub.t, ops[last:])
 }
 
 // resolve determines the outcome of the submission. If again is false and err is
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -87,6 +87,9 @@
 	// instance.
 	lockedSteps map[string]bool
 	cachedSteps map[string]*cachedStep
+	// loads contains what was read so far of steps that this instance owns and does
+	// not run yet.
+	loads map[string]*stepLoad
 	// incomplete contains the groups that the last steps of each trainer at this
 	// instance did not complete.
 	incomplete map[trainer][]string
@@ -118,6 +121,7 @@
 		claims:      make(chan struct{}, maxClaims),
 		lockedSteps: map[string]bool{},
 		cachedSteps: map[string]*cachedStep{},
+		loads:       map[string]*stepLoad{},
 		incomplete:  map[trainer][]string{},
 		ctx:         ctx,
 		stop:        stop,
@@ -202,6 +206,7 @@
 		return
 	}
 	c.runners[id] = r
+	delete(c.loads, id)
 	c.running.Go(func() {
 		r.run(c.ctx)
 		c.removeRunner(id, r)
--- a/controller/steps/demand.go
+++ b/controller/steps/demand.go
@@ -58,7 +58,7 @@
 func (c *Controller) Demand(ctx context.Context) (map[string]float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rows, err := c.o.Shared.List(ctx, demandPrefix, "", page)
+	rows, err := c.o.Shared.List(ctx, demandPrefix, "", maxPage)
 	if err != nil {
 		return nil, err
 	}
--- a/controller/steps/doc.go
+++ b/controller/steps/doc.go
@@ -11,6 +11,8 @@
 //	spec/TAG/N      the samples, split over several rows if needed; TAG differs
 //	                between submissions, and the head contains it
 //	result/POS/N    the result at position POS, split over several rows if needed
+//	text/POS/OV/N   the text of that result, if it is too large for one transaction;
+//	                OV is the version of the owner's row
 //	saved/ID        the saved state of a sample that has no result yet
 //
 // Any instance can accept a step. It writes the step in a transaction that also
@@ -33,6 +35,10 @@
 // the members, the instance that the step is assigned to reads the row again, and
 // either makes the owner run the step or takes the step over.
 //
+// Rows are read by the number in their keys, and a step counts as read only if the
+// hashes in its head match. During an upgrade, earlier versions read and write the same
+// rows.
+//
 // A submission whose outcome is unknown is resolved by reading the rows. If the
 // step is not stored, a row is written under the head's key, so that the delayed
 // transaction can never commit. Only then is the step refused.
--- a/controller/steps/fakeengines_test.go
+++ b/controller/steps/fakeengines_test.go
@@ -26,10 +26,29 @@
 	// pause, if set, returns the time between two events of a sample, given how often
 	// the sample was started before.
 	pause func(sample string, run int) time.Duration
+	// bodies contains, by sample, the body of the last request. events, if set, are the
+	// events of all samples.
+	bodies map[string][]byte
+	events []string
+}
+
+// bodyOf returns the body of the last request of a sample, or nil.
+func (e *fakeEngines) bodyOf(sample string) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bodies[sample]
+}
+
+// textOf returns the text of an event, and whether it is the last one.
+func (e *fakeEngines) textOf(sample string, i int) (text string, last bool) {
+	if e.events != nil {
+		return e.events[i-1], i == len(e.events)
+	}
+	return eventText(sample, i), i == eventCount
 }
 
 func newFakeEngines() *fakeEngines {
-	return &fakeEngines{after: map[string][]int{}, at: map[string][]string{}, gone: map[string]bool{}, priorities: map[string][]string{}}
+	return &fakeEngines{after: map[string][]int{}, at: map[string][]string{}, gone: map[string]bool{}, priorities: map[string][]string{}, bodies: map[string][]byte{}}
 }
 
 // end ends an endpoint, and with it its streams.
@@ -68,12 +87,13 @@
 		priority = fmt.Sprint(*g.Priority)
 	}
 	e.priorities[g.ID] = append(e.priorities[g.ID], priority)
+	e.bodies[g.ID] = g.Body
 	pause := eventPeriod
 	if e.pause != nil {
 		pause = e.pause(g.ID, len(e.at[g.ID])-1)
 	}
 	e.mu.Unlock()
-	for i := g.LastIndex + 1; i <= eventCount; i++ {
+	for i, last := g.LastIndex+1, false; !last; i++ {
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -82,7 +102,9 @@
 		if e.isGone(g.Engine.Endpoint) {
 			return infra.ErrStreamInterrupted
 		}
-		if err := each(infra.Event{Index: i, Text: eventText(g.ID, i), Version: 1}); err != nil {
+		var text string
+		text, last = e.textOf(g.ID, i)
+		if err := each(infra.Event{Index: i, Text: text, Version: 1}); err != nil {
 			return err
 		}
 	}
--- a/controller/steps/faultytables_test.go
+++ b/controller/steps/faultytables_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"sync/atomic"
 	"time"
@@ -44,11 +45,49 @@
 	if t.faults.down.Load() || t.faults.stateDown.Load() && prefix == "state/" {
 		return nil, infra.ErrUnavailable
 	}
-	time.Sleep(time.Duration(t.faults.slow.Load()))
-	return t.Table.List(ctx, prefix, after, limit)
+	rows, err := t.Table.List(ctx, prefix, after, limit)
+	size := 0
+	for _, row := range rows {
+		size += len(row.Value)
+	}
+	calls := 1 + size/maxCallBytes // the store's responses are limited
+	select {
+	case <-time.After(time.Duration(calls) * time.Duration(t.faults.slow.Load())):
+		return rows, err
+	case <-ctx.Done():
+		return nil, infra.ErrUnavailable
+	}
+}
+
+// Limits of the platform's store: the entries and the bytes of a transaction or a
+// response, and the bytes of a row.
+const (
+	maxEntries   = 100
+	maxCallBytes = 1_000_000
+	maxRowBytes  = 64_000
+)
+
+// exceedsLimits reports whether the platform's store refuses a transaction. Its values
+// are in base64.
+func exceedsLimits(ops []infra.Op) bool {
+	entries, size := 0, 0
+	for _, op := range ops {
+		if op.Kind == infra.OpPut && len(op.Value) > maxRowBytes {
+			return true
+		}
+		entries++
+		if op.Kind == infra.OpPut {
+			entries++ // a condition and the row
+		}
+		size += len(op.Key) + base64.StdEncoding.EncodedLen(len(op.Value))
+	}
+	return entries > maxEntries || size > maxCallBytes
 }
 
 func (t *faultyTable) Commit(ctx context.Context, ops ...infra.Op) error {
+	if exceedsLimits(ops) {
+		return infra.ErrUnavailable
+	}
 	if t.faults.down.Load() && t.faults.unknownWhenDown.Load() {
 		return infra.ErrUnknownOutcome
 	}
--- a/controller/steps/list.go
+++ b/controller/steps/list.go
@@ -23,7 +23,7 @@
 func List(ctx context.Context, tables infra.Tables) ([]Info, error) {
 	var list []Info
 	for after := ""; ; {
-		names, err := tables.Parts(ctx, after, page)
+		names, err := tables.Parts(ctx, after, maxPage)
 		if err != nil {
 			return nil, fmt.Errorf("list steps: %w", err)
 		}
@@ -37,7 +37,7 @@
 			}
 			after = id
 		}
-		if len(names) < page {
+		if len(names) < maxPage {
 			return list, nil
 		}
 	}
--- a/controller/steps/reader.go
+++ b/controller/steps/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -170,9 +171,7 @@
 	if from < len(cached.results) || len(cached.results) >= total {
 		return cached.results[min(from, len(cached.results)):], nil
 	}
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	list, err := readResults(call, c.table(id), len(cached.results))
+	list, err := readResults(ctx, c.table(id), len(cached.results))
 	if err != nil {
 		return nil, err
 	}
@@ -201,25 +200,27 @@
 	if err != nil {
 		return nil, err
 	}
-	samples, err := c.samples(ctx, id, s.head)
-	if err != nil {
+	sm, found, err := c.sample(ctx, id, s.head, sample)
+	switch {
+	case err != nil:
 		return nil, code.Wrap(code.StoreDown, err, "")
+	case !found:
+		return nil, code.New(code.StepUnknown, "the step has no such sample")
 	}
-	for _, sm := range samples {
-		if sm.ID == sample {
-			return sm.Body, nil
-		}
-	}
-	return nil, code.New(code.StepUnknown, "the step has no such sample")
+	return sm.Body, nil
 }
 
-func (c *Controller) samples(ctx context.Context, id string, h head) ([]durable.Sample, error) {
-	if r := c.runner(id); r != nil {
-		return r.spec.Samples, nil
+// sample returns a sample of a step, from memory if the step runs here.
+func (c *Controller) sample(ctx context.Context, id string, h head, sample string) (durable.Sample, bool, error) {
+	r := c.runner(id)
+	if r == nil {
+		return findSample(ctx, c.table(id), h, sample)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return readSamples(ctx, c.table(id), h)
+	i := slices.IndexFunc(r.spec.Samples, func(s durable.Sample) bool { return s.ID == sample })
+	if i < 0 {
+		return durable.Sample{}, false, nil
+	}
+	return r.spec.Samples[i], true, nil
 }
 
 // evictCachedSteps removes the steps from the cache that have not been read for
--- a/controller/steps/runner_store.go
+++ b/controller/steps/runner_store.go
@@ -44,17 +44,19 @@
 // step.
 func (r *runner) store(ctx context.Context, b *durable.Batch) bool {
 	began := r.c.o.Clock.Now()
-	puts, err := resultOps(b)
+	encoded, err := encodeBatch(b, r.ownerVersion)
 	if err != nil {
 		r.log.Error("results not encoded", "error", err)
 		return false
 	}
-	ops := append([]infra.Op{infra.CheckVersion(ownerKey, r.ownerVersion)}, puts...)
+	if !r.storeTexts(ctx, encoded.texts) {
+		return false
+	}
 	var pause backoff
 	for {
-		outcome := infra.EffectOf(r.commit(ctx, ops))
+		outcome := infra.EffectOf(r.commit(ctx, r.owned(encoded.results)))
 		if outcome == effect.Conflict || outcome == effect.Unknown {
-			outcome = r.resolve(ctx, b, puts)
+			outcome = r.resolve(ctx, b, encoded.results)
 		}
 		switch outcome {
 		case effect.Done:
@@ -69,25 +71,37 @@
 	}
 }
 
-// resultOps returns the operations that write the results of a batch.
-func resultOps(b *durable.Batch) ([]infra.Op, error) {
-	var ops []infra.Op
-	for i, result := range b.Results {
-		value, err := json.Marshal(result)
-		if err != nil {
-			return nil, err
+// storeTexts writes the texts that are stored separately, and retries until they are
+// stored. It returns false if this instance no longer owns the step, or ctx ends.
+func (r *runner) storeTexts(ctx context.Context, texts []infra.Op) bool {
+	var pause backoff
+	for len(texts) > 0 {
+		n := numFittingOps(texts)
+		err := r.commit(ctx, r.owned(texts[:n]))
+		if err == nil {
+			texts = texts[n:]
+			continue
+		}
+		if infra.EffectOf(err) == effect.Conflict {
+			if owns, err := r.checkOwner(ctx); err == nil && !owns {
+				return false
+			}
+		}
+		r.log.Debug("text not stored", "error", err)
+		if pause.wait(ctx) != nil {
+			return false
 		}
-		ops = append(ops, split(resultKey(b.Position+i), value)...)
 	}
-	return ops, nil
+	return true
 }
 
-func (r *runner) commit(ctx context.Context, ops []infra.Op) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return r.t.Commit(ctx, ops...)
+// owned returns ops with the condition that this instance still owns the step.
+func (r *runner) owned(ops []infra.Op) []infra.Op {
+	return append([]infra.Op{infra.CheckVersion(ownerKey, r.ownerVersion)}, ops...)
 }
 
+func (r *runner) commit(ctx context.Context, ops []infra.Op) error { return commit(ctx, r.t, ops) }
+
 // resolve reads what a commit of a batch, which puts rows, has done: effect.Done if
 // the batch is stored, effect.None if it is not and this instance still owns the step,
 // and effect.Conflict if it never will be. It stops the runner in the last case, and
--- a/controller/steps/successor.go
+++ b/controller/steps/successor.go
@@ -32,6 +32,9 @@
 func (c *Controller) recordOwner(id string, s state) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s.ended || s.owner != c.self() {
+		delete(c.loads, id)
+	}
 	if s.ended {
 		c.closed[id] = c.o.Clock.Now()
 		delete(c.openSteps, id)
--- a/controller/steps/sweep.go
+++ b/controller/steps/sweep.go
@@ -36,7 +36,7 @@
 
 // deleteStep removes all rows of a step.
 func deleteStep(ctx context.Context, t infra.Table) error {
-	for _, prefix := range []string{specPrefix, resultPrefix, savedPrefix, statePrefix} {
+	for _, prefix := range []string{specPrefix, resultPrefix, textPrefix, savedPrefix, statePrefix} {
 		rows, err := listAll(ctx, t, prefix)
 		if err != nil {
 			return err
--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -111,9 +111,9 @@
 // instance has owned the step, so the owner's row need not be written again to
 // fence off an earlier owner.
 func (c *Controller) adopt(ctx context.Context, id string, t infra.Table, s state) {
-	l, err := load(ctx, t, s.head, nil)
+	l, err := c.loadOf(id, t, s.head).run(ctx, nil)
 	if err != nil {
-		c.o.Log.Debug("step not adopted yet", "step", id, "error", err)
+		c.o.Log.Info("step not adopted yet", "step", id, "error", err)
 		return
 	}
 	c.o.Log.Info("step adopted", "step", id, "results", len(l.results))
@@ -135,7 +135,7 @@
 			"took", c.o.Clock.Now()-began)
 		return err
 	}
-	l, err := c.loadOwned(ctx, t, s.head, reported)
+	l, err := c.loadOwned(ctx, c.loadOf(id, t, s.head), reported)
 	if err != nil {
 		c.forgetOwner(id)
 		c.o.Log.Warn("step taken over, but its rows could not be read", "step", id, "error", err)
@@ -184,44 +184,12 @@
 }
 
 // loadOwned loads a step that this instance owns, and retries until ctx ends.
-func (c *Controller) loadOwned(ctx context.Context, t infra.Table, h head, reported []durable.Saved) (loadedStep, error) {
+func (c *Controller) loadOwned(ctx context.Context, load *stepLoad, reported []durable.Saved) (loadedStep, error) {
 	var pause backoff
 	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		l, err := load(call, t, h, reported)
-		cancel()
+		l, err := load.run(ctx, reported)
 		if err == nil || pause.wait(ctx) != nil {
 			return l, err
 		}
 	}
 }
-
-// loadedStep is a step that was read from its rows.
-type loadedStep struct {
-	step    *durable.Step
-	results []durable.Result
-	// savedVersions contains the versions of the rows of unfinished samples, by
-	// sample ID.
-	savedVersions map[string]uint64
-}
-
-// load reads a step from its rows. No other instance writes to the step at the same
-// time. The reported sample state is newer than the samples' rows and takes
-// precedence.
-func load(ctx context.Context, t infra.Table, h head, reported []durable.Saved) (loadedStep, error) {
-	samples, err := readSamples(ctx, t, h)
-	if err != nil {
-		return loadedStep{}, err
-	}
-	results, err := readAllResults(ctx, t)
-	if err != nil {
-		return loadedStep{}, err
-	}
-	saved, versions, err := readSaved(ctx, t)
-	if err != nil {
-		return loadedStep{}, err
-	}
-	spec := h.Spec
-	spec.Samples = samples
-	return loadedStep{durable.New(spec, results, append(reported, saved...)), results, versions}, nil
-}
