Responses that are no answer of HTTP are a failure of the endpoint

Callers saw: for a status 000, 042, 099 or +99 of a replica the connection ended without an answer (net/http panics when it writes a status under 100), for 600 and 999 that status itself; after a 204 with a body, bytes of that body were left on a connection that went back to the pool.

Cause: net/http's client accepts any three characters that are a number, and nothing here asked whether the status is that of an answer.

Now checked in one place for requests, samples and scoring calls (attempt.checkHead): code 3011 answer_invalid, counted as a failure of the endpoint; another one is tried if the request may be repeated.

TestNoAnswerToSample passed before, too, and stays as a guard. Ruled out: odd bytes in header values and names; net/http refuses them.

--- a/api/client.go
+++ b/api/client.go
@@ -109,7 +109,7 @@
 		return resp, err
 	}
 	defer r.Body.Close()
-	if r.StatusCode >= http.StatusBadRequest {
+	if r.StatusCode < 200 || r.StatusCode >= 300 {
 		return resp, remoteError(r)
 	}
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxResponseBytes)).Decode(&resp); err != nil {
--- a/attempt/call.go
+++ b/attempt/call.go
@@ -152,6 +152,9 @@
 	if r.resp.StatusCode == http.StatusSwitchingProtocols {
 		return code.New(code.EndpointLost, "endpoint %s switched protocols", r.call.Addr)
 	}
+	if err := checkHead(r.resp); err != nil {
+		return code.Wrap(code.AnswerInvalid, err, "endpoint %s: %v", r.call.Addr, err)
+	}
 	if id != "" {
 		r.conn.host.echoesID.Store(true)
 	}
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/clock"
+	"github.com/cumincove/cumincove/internal/outbound"
 )
 
 // Options configures a Pool.
@@ -87,11 +88,7 @@
 	}
 	return &Pool{
 		opt: opt,
-		tr: &http.Transport{
-			DialContext:            opt.Dial,
-			DisableCompression:     true,
-			MaxResponseHeaderBytes: 64 << 10,
-		},
+		tr:  outbound.Transport(opt.Dial),
 	}
 }
 
--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -19,6 +19,7 @@
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/infra/httpapi"
 	"github.com/cumincove/cumincove/internal/daemon"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/telemetry"
 	"github.com/cumincove/cumincove/platform"
 	"github.com/cumincove/cumincove/settings"
@@ -133,7 +134,7 @@
 		return err
 	}
 	dial := (&net.Dialer{}).DialContext
-	hc := &http.Client{Transport: httpapi.NewTransport(dial)}
+	hc := outbound.Client(httpapi.NewTransport(dial))
 	return daemon.New(daemon.Deps{
 		Settings:      s,
 		Platform:      httpapi.New(s.Platform.URL, hc, platformToken),
--- a/code/table.go
+++ b/code/table.go
@@ -54,6 +54,7 @@
 	NoMatchingEndpoint Number = 3008
 	SelectionBusy      Number = 3009
 	EndpointLimits     Number = 3010
+	AnswerInvalid      Number = 3011
 
 	StepUnknown      Number = 4000
 	StepExists       Number = 4001
@@ -121,6 +122,7 @@
 	{NoMatchingEndpoint, "no_matching_endpoint", http.StatusServiceUnavailable, NotRun, 2 * time.Second, "No endpoint of the service reports the weight version or role that the request selects."},
 	{SelectionBusy, "selection_busy", http.StatusServiceUnavailable, NotRun, time.Second, "The endpoints that the request selects have no room, or other requests wait. Requests that only some endpoints can serve do not queue."},
 	{EndpointLimits, "endpoint_limits", http.StatusServiceUnavailable, NotRun, time.Second, "The endpoints of the service limit their requests a second, and no more may be sent there in the time left."},
+	{AnswerInvalid, "answer_invalid", http.StatusBadGateway, MaybeRun, time.Second, "The endpoint's answer is none of HTTP: its status is not 200 to 599, or its head can't be forwarded. It was dropped."},
 
 	{StepUnknown, "step_unknown", http.StatusNotFound, NotRun, 0, "No step has this ID."},
 	{StepExists, "step_exists", http.StatusConflict, NotRun, 0, "A step with this ID and other settings exists."},
--- a/controller/membership/connections.go
+++ b/controller/membership/connections.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/cumincove/cumincove/internal/outbound"
 )
 
 // dialFunc opens connections.
@@ -39,8 +41,10 @@
 	if c.dial == nil {
 		c.dial = (&net.Dialer{}).DialContext
 	}
-	c.client = &http.Client{Transport: c}
-	c.retry = &http.Client{Transport: &http.Transport{DialContext: dialHTTP1, DisableKeepAlives: true}}
+	c.client = outbound.Client(c)
+	retry := outbound.Transport(dialHTTP1)
+	retry.DisableKeepAlives = true
+	c.retry = outbound.Client(retry)
 	return c
 }
 
@@ -57,7 +61,8 @@
 	if t == nil {
 		p := &http.Protocols{}
 		p.SetUnencryptedHTTP2(true) // TLS, if any, is done by dial and not by the transport
-		t = &http.Transport{DialContext: c.open, IdleConnTimeout: idleTimeout, Protocols: p}
+		t = outbound.Transport(c.open)
+		t.IdleConnTimeout, t.Protocols = idleTimeout, p
 		c.transports[addr] = t
 	}
 	return t
--- a/engine/client.go
+++ b/engine/client.go
@@ -211,7 +211,7 @@
 		return infra.ErrStaleEpoch
 	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
 		return fmt.Errorf("%w: status %d", ErrNotRun, resp.StatusCode)
-	case resp.StatusCode >= http.StatusBadRequest:
+	case resp.StatusCode < 200 || resp.StatusCode >= 300:
 		return fmt.Errorf("engine: status %d", resp.StatusCode)
 	}
 	return nil
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -334,7 +334,7 @@
 	}
 	switch asCode(err).Number {
 	case code.EndpointRefused, code.EndpointLost, code.FirstByteTimeout,
-		code.IdleTimeout, code.AnswerTruncated, code.AnswerMismatch:
+		code.IdleTimeout, code.AnswerTruncated, code.AnswerMismatch, code.AnswerInvalid:
 		return dispatch.Failed
 	}
 	return dispatch.Unused
--- a/filter/deduplicate.go
+++ b/filter/deduplicate.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/api"
+	"github.com/cumincove/cumincove/attempt"
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/dedup"
@@ -101,7 +102,7 @@
 		return code.New(code.DuplicateUnderWay, "")
 	case d.Row.State == dedup.MayHaveRun:
 		return code.New(code.DuplicateMayHaveRun, "")
-	case d.Row.Answer == nil:
+	case d.Row.Answer == nil || !attempt.FinalStatus(d.Row.Answer.Status):
 		return code.New(code.DuplicateRan, "")
 	}
 	return replay(w, d.Row.Answer)
--- a/infra/httpapi/transport.go
+++ b/infra/httpapi/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/lease"
 )
 
@@ -27,17 +28,16 @@
 // With any other transport, the guard is called only when the body is read,
 // slightly earlier.
 func NewTransport(dial DialFunc) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dial(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return lease.NewConn(c), nil
-		},
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: idleConns,
-	}
+	t := outbound.Transport(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return lease.NewConn(c), nil
+	})
+	t.IdleConnTimeout = idleConnTimeout
+	t.MaxIdleConnsPerHost = idleConns
+	return t
 }
 
 // setConnCheck makes c call check before each write of the request that now uses
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"github.com/cumincove/cumincove/fairqueue"
 	"github.com/cumincove/cumincove/filter"
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 	"github.com/cumincove/cumincove/limit"
 	"github.com/cumincove/cumincove/membudget"
@@ -171,17 +172,14 @@
 	d := &Daemon{deps: deps, views: view.NewStore(), incarnation: uint64(time.Now().UnixNano())}
 	d.clientLimits = newClientLimits(deps.Settings.Limits, readProcessLimits())
 	d.budget = newBudget(d.clientLimits)
-	d.transport = &http.Transport{
-		DialContext:         deps.Dial,
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: idleConnsPerEndpoint,
-		DisableCompression:  true,
-	}
+	d.transport = outbound.Transport(deps.Dial)
+	d.transport.IdleConnTimeout = idleConnTimeout
+	d.transport.MaxIdleConnsPerHost = idleConnsPerEndpoint
 	d.newStateControllers()
 	d.load = load.New(load.Options{
 		Views:      d.views,
 		Clock:      deps.Clock,
-		Client:     &http.Client{Transport: d.transport},
+		Client:     outbound.Client(d.transport),
 		Self:       d.deps.Settings.Name,
 		DataCentre: d.deps.Settings.DataCentre,
 		Poll:       loadPoll,
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/attempt"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 )
 
@@ -54,12 +55,10 @@
 // peerClient returns the client for calls to other instances.
 func (m *Managed) peerClient() *http.Client {
 	dial := tlsfile.DialFunc(attempt.WithUserTimeout(m.deps.Network.Dial, userTimeout))
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         m.deps.TLS.Peers.Dialer(dial),
-		IdleConnTimeout:     idleConnTimeout,
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
-	}}
+	t := outbound.Transport(m.deps.TLS.Peers.Dialer(dial))
+	t.IdleConnTimeout = idleConnTimeout
+	t.MaxIdleConnsPerHost = 1
+	return outbound.Client(t)
 }
 
 // connTimeouts returns the configuration's timeouts for callers' connections. The
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -9,6 +9,7 @@
 	"github.com/cumincove/cumincove/controller/weights"
 	"github.com/cumincove/cumincove/engine"
 	"github.com/cumincove/cumincove/infra/httpapi"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1/rolloutv1connect"
 )
 
@@ -56,7 +57,7 @@
 			Clock:            d.deps.Clock,
 			Dispatcher:       d.dispatcher,
 			Engine:           d.engineClient(d.transport),
-			Peers:            &http.Client{Transport: d.peerTransport()},
+			Peers:            outbound.Client(d.peerTransport()),
 			Log:              d.deps.Log,
 			Scope:            d.deps.Scope,
 			Call:             d.serviceCaller(),
@@ -72,7 +73,7 @@
 func (d *Daemon) engineClient(transport http.RoundTripper) *engine.Client {
 	timing := d.deps.Settings.Timing
 	return &engine.Client{
-		HTTP:              &http.Client{Transport: transport},
+		HTTP:              outbound.Client(transport),
 		FirstChunkTimeout: time.Duration(timing.FirstByte),
 		ChunkTimeout:      time.Duration(timing.Idle),
 		CallTimeout:       engineTimeout,
