What endpoints and peers send counts towards the memory for requests

An operator's report: a faulty replica sent bytes that were no answer, without end; the machine kept them and ran out of memory.

It happens here. Each response was bounded, their sum was not.

Cause: a head of 62 KB with fields of 7 bytes takes about 2.5 MB in a map, and a line of an event up to 3 MB of buffers, times the connections.

Now heads (text and 320 bytes a field), bodies that are read before they are forwarded, and the events of streams take their memory from the one budget (membudget), as bytes arrive and before they are parsed. Ordinary heads and events, 16 KB of memory, don't count. All responses together are one team of the budget and leave room to callers. A body that doesn't fit is forwarded unread instead; anything else is a lost endpoint.

Not counted: the text of open steps (8 MB a sample at most), heads of the store, orders and peers (16 KB of text each).

--- a/attempt/answer.go
+++ b/attempt/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/engine"
+	"github.com/cumincove/cumincove/membudget"
 )
 
 // Response is an endpoint's response. Read returns io.EOF only after a complete
@@ -34,6 +35,8 @@
 	buffered []byte
 	last     lastLine
 	done     bool
+	// headHold and bodyHold are the memory of the head, and of a body in buffered.
+	headHold, bodyHold *membudget.Hold
 }
 
 // timeOut closes the connection of an attempt whose endpoint sent nothing within
@@ -43,6 +46,9 @@
 	r.conn.close() // host.release follows in Close or finish
 }
 
+// Interrupt makes a pending and all further reads fail at once. It does not block.
+func (r *Response) Interrupt() { r.conn.raw.interrupt() }
+
 // CopyHeader copies to dst the response headers that may be forwarded to the
 // caller.
 func (r *Response) CopyHeader(dst http.Header) {
@@ -156,11 +162,13 @@
 	r.pool.put(r.conn)
 }
 
-// Close ends the attempt. If the response is not complete, its connection is
+// Close ends the attempt and releases its memory. If the response is not complete, its connection is
 // closed. After a timeout, the idle connections to the same endpoint are closed
 // as well: if the endpoint or a device on the path has dropped the state of this
 // connection, it may have dropped that of all of them.
 func (r *Response) Close() {
+	r.headHold.Close()
+	r.bodyHold.Close()
 	if r.done {
 		return
 	}
--- a/attempt/call.go
+++ b/attempt/call.go
@@ -16,6 +16,9 @@
 // and a truncated response can be requested again.
 const maxBufferedBody = 64 << 10
 
+// maxHeadBytes bounds the head of a response, in bytes.
+const maxHeadBytes = 64 << 10
+
 // Kind is what a request to an endpoint is for. It is the value of a metric's tag.
 type Kind string
 
@@ -100,7 +103,11 @@
 }
 
 func (r *Response) start() error {
+	r.conn.raw.beginHead()
 	resp, err := r.conn.cc.RoundTrip(r.call.request(r.ctx, r.dialect))
+	if err == nil {
+		r.headHold, err = r.conn.raw.endHead()
+	}
 	if err != nil {
 		return r.fail(code.EndpointLost, code.FirstByteTimeout, err)
 	}
@@ -115,7 +122,7 @@
 	}
 	r.pool.ReportRateLimit(r.call.Endpoint, resp.StatusCode, resp.Header, r.handedOff)
 	r.Length = resp.ContentLength
-	if r.Length < 0 || r.Length > maxBufferedBody || r.call.Stream {
+	if r.Length < 0 || r.Length > maxBufferedBody || r.call.Stream || !r.holdBody() {
 		return nil
 	}
 	if r.buffered, err = r.readBuffered(); err != nil {
@@ -125,6 +132,13 @@
 	return nil
 }
 
+// holdBody reserves the memory of a body that is read before it is forwarded. It
+// reports false if the body does not fit.
+func (r *Response) holdBody() bool {
+	r.bodyHold = r.pool.OpenHold(nil)
+	return r.bodyHold.Grow(r.Length) && r.bodyHold.Complete()
+}
+
 // readBuffered reads a body of known length to its end.
 func (r *Response) readBuffered() ([]byte, error) {
 	if r.resp.Body == http.NoBody {
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/cumincove/cumincove/clock"
 	"github.com/cumincove/cumincove/internal/outbound"
+	"github.com/cumincove/cumincove/membudget"
 )
 
 // Options configures a Pool.
@@ -59,6 +60,7 @@
 	// each request that is handed off to one.
 	rateLimitFunc func(RateLimitAnswer)
 	sendFunc      func(endpoint string, kind Kind)
+	budget        *membudget.Budget
 }
 
 // host contains the idle connections to one address.
@@ -76,6 +78,7 @@
 // conn is one connection, used by one request at a time.
 type conn struct {
 	cc   *http.ClientConn
+	raw  *meteredConn
 	host *host
 	// lastUsed is the time of the end of the last use.
 	lastUsed time.Duration
@@ -86,10 +89,10 @@
 	if opt.Dialect == (Dialect{}) {
 		opt.Dialect = DefaultDialect()
 	}
-	return &Pool{
-		opt: opt,
-		tr:  outbound.Transport(opt.Dial),
-	}
+	p := &Pool{opt: opt}
+	p.tr = outbound.Transport(p.dialMetered)
+	p.tr.MaxResponseHeaderBytes = maxHeadBytes
+	return p
 }
 
 // OnLeaving sets the function that is called, with the endpoint's name, when a
@@ -160,12 +163,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opt.ConnectTimeout)
 	defer cancel()
-	cc, err := p.tr.NewClientConn(ctx, "http", addr)
+	var raw *meteredConn
+	cc, err := p.tr.NewClientConn(context.WithValue(ctx, meteredKey{}, &raw), "http", addr)
 	if err != nil {
 		h.release()
 		return nil, err
 	}
-	return &conn{cc: cc, host: h}, nil
+	return &conn{cc: cc, raw: raw, host: h}, nil
 }
 
 // IdleConns returns the number of idle connections to an address that are
@@ -282,6 +286,7 @@
 
 func (c *conn) close() {
 	_ = c.cc.Close()
+	c.raw.release()
 }
 
 // Run closes connections that were idle for too long until ctx ends. It then
--- a/controller/membership/connections.go
+++ b/controller/membership/connections.go
@@ -41,10 +41,10 @@
 	if c.dial == nil {
 		c.dial = (&net.Dialer{}).DialContext
 	}
-	c.client = outbound.Client(c)
+	c.client = outbound.PeerClient(c)
 	retry := outbound.Transport(dialHTTP1)
 	retry.DisableKeepAlives = true
-	c.retry = outbound.Client(retry)
+	c.retry = outbound.PeerClient(retry)
 	return c
 }
 
--- a/controller/membership/exchange.go
+++ b/controller/membership/exchange.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cumincove/cumincove/gossip"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1/gossipv1connect"
 )
@@ -88,7 +89,7 @@
 }
 
 func peerClient(client *http.Client, addr string) gossipv1connect.PeerServiceClient {
-	return gossipv1connect.NewPeerServiceClient(client, "http://"+addr)
+	return gossipv1connect.NewPeerServiceClient(client, "http://"+addr, outbound.Data())
 }
 
 // envelope wraps a message for a peer and adds the payloads of the handlers. The
--- a/controller/ratelimits/peer.go
+++ b/controller/ratelimits/peer.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/pb/limitsv1"
 	"github.com/cumincove/cumincove/internal/pb/limitsv1/limitsv1connect"
 	"github.com/cumincove/cumincove/ratelimit"
@@ -67,7 +68,7 @@
 		})
 	}
 	m := c.o.Views.Load().Members[coordinator]
-	client := limitsv1connect.NewLimitServiceClient(c.o.Peers, "http://"+m.PeerAddr)
+	client := limitsv1connect.NewLimitServiceClient(c.o.Peers, "http://"+m.PeerAddr, outbound.Reply())
 	resp, err := client.Acquire(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
--- a/controller/rollout/handoff.go
+++ b/controller/rollout/handoff.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
 
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1/rolloutv1connect"
 	"github.com/cumincove/cumincove/view"
@@ -70,7 +71,7 @@
 	}
 	w.c.rememberOwner(w.key, next.Name)
 	w.c.drop(w)
-	peer := rolloutv1connect.NewRolloutServiceClient(w.c.o.Peers, "http://"+next.PeerAddr)
+	peer := rolloutv1connect.NewRolloutServiceClient(w.c.o.Peers, "http://"+next.PeerAddr, outbound.Data())
 	_, err := peer.Progress(ctx, connect.NewRequest(&rolloutv1.ProgressRequest{Step: w.key.proto()}))
 	return err
 }
--- a/controller/rollout/route.go
+++ b/controller/rollout/route.go
@@ -10,6 +10,7 @@
 
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1"
 	"github.com/cumincove/cumincove/internal/pb/rolloutv1/rolloutv1connect"
 )
@@ -86,7 +87,7 @@
 	if name == c.o.Self || !ok || m.PeerAddr == "" {
 		return result{}, false, nil
 	}
-	peer := rolloutv1connect.NewRolloutServiceClient(c.o.Peers, "http://"+m.PeerAddr)
+	peer := rolloutv1connect.NewRolloutServiceClient(c.o.Peers, "http://"+m.PeerAddr, outbound.Data())
 	pctx, cancel := context.WithTimeout(ctx, maxPeerWait+peerTimeout)
 	defer cancel()
 	a, err := f.remote(pctx, peer)
--- a/controller/steps/handoff.go
+++ b/controller/steps/handoff.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/internal/outbound"
 	"github.com/cumincove/cumincove/internal/pb/stepsv1"
 	"github.com/cumincove/cumincove/internal/pb/stepsv1/stepsv1connect"
 	"github.com/cumincove/cumincove/internal/rendezvous"
@@ -94,7 +95,7 @@
 func (h HandoffByModel) Adopt(ctx context.Context, m view.Member, step string) error {
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
-	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
+	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr, outbound.Reply())
 	_, err := peer.Adopt(ctx, connect.NewRequest(&stepsv1.AdoptRequest{Step: step, Incarnation: m.Incarnation}))
 	return err
 }
@@ -103,7 +104,7 @@
 func (h HandoffByModel) Alive(ctx context.Context, m view.Member) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
-	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
+	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr, outbound.Reply())
 	resp, err := peer.Alive(ctx, connect.NewRequest(&stepsv1.AliveRequest{Incarnation: m.Incarnation}))
 	if err != nil {
 		return false, err
@@ -119,7 +120,7 @@
 	if err != nil {
 		return fmt.Errorf("encode samples: %w", err)
 	}
-	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr)
+	peer := stepsv1connect.NewStepServiceClient(h.Peers, "http://"+m.PeerAddr, outbound.Reply())
 	_, err = peer.TakeOver(ctx, connect.NewRequest(&stepsv1.TakeOverRequest{
 		Step: step, Owner: from.Instance, Incarnation: from.Incarnation, Saved: data,
 	}))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,6 +209,7 @@
 	poolOptions.Clock = d.deps.Clock
 	poolOptions.Dial = attempt.WithUserTimeout(d.deps.Dial, userTimeout)
 	d.pool = attempt.NewPool(poolOptions)
+	d.pool.SetBudget(d.budget)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Views:           d.views,
 		Clock:           d.deps.Clock,
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -233,6 +233,7 @@
 		Views: m.views, Freshness: m.intent, Clock: m.deps.Clock,
 	})
 	m.newSuspects()
+	m.deps.Pool.SetBudget(m.budget)
 	m.deps.Pool.OnLeaving(m.markEndpointLeaving)
 	m.deps.Pool.OnRateLimit(m.rateLimits.HandleAnswer)
 	m.deps.Pool.OnSend(m.rateLimits.HandleSend)
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -58,7 +58,7 @@
 	t := outbound.Transport(m.deps.TLS.Peers.Dialer(dial))
 	t.IdleConnTimeout = idleConnTimeout
 	t.MaxIdleConnsPerHost = 1
-	return outbound.Client(t)
+	return outbound.PeerClient(t)
 }
 
 // connTimeouts returns the configuration's timeouts for callers' connections. The
--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -57,7 +57,7 @@
 			Clock:            d.deps.Clock,
 			Dispatcher:       d.dispatcher,
 			Engine:           d.engineClient(d.transport),
-			Peers:            outbound.Client(d.peerTransport()),
+			Peers:            outbound.PeerClient(d.peerTransport()),
 			Log:              d.deps.Log,
 			Scope:            d.deps.Scope,
 			Call:             d.serviceCaller(),
