A planned stop cuts no request that was taken late

What happened here: 6.5 s after the signal every connection was closed, before the last sixth of the grace time (6.667 of 8 s). And although new requests are refused 3 s after the signal, one whose body ended later, or that had waited for a slot, was passed on to a replica then and cut at the end, also if it must not be repeated. One that still waited at the end was cut without having run.

Weighed: refusing long requests from the signal on (most end in time; callers still learn of other addresses); closing later than 7 s (the exit must fit in).

Tests: TestPlannedStopCutsNoRequest, fake time, four requests for each 100 ms from 2 s before the signal to the end of the grace: repeatable or not, short and long work and limits, kept and new connections, late bodies, steps handed off beside. TestStopRefusesWhatMayOutlastIt (there was no Stop before). The address of another instance is not in the refusal on the managed platform: its page has no field for it, callers ask its directory.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -53,6 +53,9 @@
 	// warmOffset is the position in a list of endpoints at which the search for
 	// idle connections starts.
 	warmOffset int
+	// stopping is closed by Stop, which sets stopsAt before.
+	stopping chan struct{}
+	stopsAt  time.Duration
 }
 
 // New returns a Dispatcher.
@@ -72,7 +75,7 @@
 	if opt.Scope == nil {
 		opt.Scope = tally.NoopScope
 	}
-	d := &Dispatcher{opt: opt, warmOffset: rand.IntN(math.MaxInt32)}
+	d := &Dispatcher{opt: opt, warmOffset: rand.IntN(math.MaxInt32), stopping: make(chan struct{})}
 	d.prefixes.init(opt.Scope)
 	return d
 }
@@ -167,6 +170,13 @@
 	return slot, err
 }
 
+// Stop refuses the work that waits and whose deadline is after the boot time at, when
+// this instance ends, and all that would wait so later. It must be called once at most.
+func (d *Dispatcher) Stop(at time.Duration) {
+	d.stopsAt = at
+	close(d.stopping)
+}
+
 func (d *Dispatcher) service(name string) *service {
 	if s, ok := d.services.Load(name); ok {
 		return s.(*service)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/fairqueue"
 	"github.com/cumincove/cumincove/view"
 	"github.com/cumincove/cumincove/worktime"
@@ -170,8 +171,15 @@
 	check, stop := s.permitChecks()
 	defer stop()
 	covered := false
+	stopping := s.d.stopping
 	for {
 		select {
+		case <-stopping:
+			stopping = nil
+			if w.Deadline > s.d.stopsAt && s.cancelWaiting(it) {
+				s.countWait(it, queuedAt, resultCancelled)
+				return nil, code.New(code.Draining, "the request may outlast this instance")
+			}
 		case slot, ok := <-wt.slot:
 			if !ok {
 				if wt.err != nil {
--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -61,6 +61,10 @@
 	RetryInternalErrors bool
 	// KeepID sends the request's own ID with every attempt.
 	KeepID bool
+	// EndBy, if set, returns the boot time by which requests must end because this
+	// instance ends. Ok is false unless it shuts down and callers have had the time to
+	// turn to other instances.
+	EndBy func() (at time.Duration, ok bool)
 
 	budgets sync.Map // team to *teamBudget
 }
@@ -77,6 +81,9 @@
 // ServeHTTP serves the request. The effect in its errors is the known effect of
 // all attempts together.
 func (a *Attempt) ServeHTTP(w http.ResponseWriter, r *Request) error {
+	if err := a.checkEnd(r); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	if r.KeyDigest != "" {
@@ -95,6 +102,19 @@
 	return e
 }
 
+// checkEnd returns code.Draining unless the request ends, at its deadline at the latest,
+// before this instance does.
+func (a *Attempt) checkEnd(r *Request) error {
+	if a.EndBy == nil {
+		return nil
+	}
+	at, ok := a.EndBy()
+	if ok && r.Deadline > at {
+		return code.New(code.Draining, "the request may outlast this instance")
+	}
+	return nil
+}
+
 func (a *Attempt) budget(team string) *teamBudget {
 	if b, ok := a.budgets.Load(team); ok {
 		return b.(*teamBudget)
@@ -428,6 +448,9 @@
 	if err := t.stillAllowed(); err != nil {
 		return err
 	}
+	if err := t.a.checkEnd(t.r); err != nil {
+		return err
+	}
 	if !slot.MaySend() {
 		return code.New(code.EndpointLimits, "endpoint %s", slot.Endpoint.Name)
 	}
--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -120,9 +120,11 @@
 
 	incarnation uint64
 	leaving     atomic.Bool
-	draining    atomic.Bool
-	inFlight    atomic.Int64
-	entryCount  atomic.Uint64
+	// leavingSince is the boot time at which the shutdown began.
+	leavingSince atomic.Int64
+	draining     atomic.Bool
+	inFlight     atomic.Int64
+	entryCount   atomic.Uint64
 }
 
 // NewManaged returns an instance. It starts no goroutine before Run.
@@ -308,6 +310,7 @@
 // kept to the end of that time, because samples that are not saved would be lost.
 func (m *Managed) shutdown(failed context.Context, servers []*server) {
 	started := m.deps.Clock.Now()
+	m.leavingSince.Store(int64(started))
 	m.leaving.Store(true)
 	m.deps.Log.Info("leaving", "in_flight", m.inFlight.Load(), "steps", m.steps.OpenSteps())
 	m.presence.WriteNow()
@@ -316,6 +319,10 @@
 	var handOff sync.WaitGroup
 	defer handOff.Wait()
 	handOff.Go(func() { m.steps.HandOff(ctx) })
+	time.AfterFunc(time.Duration(m.deps.Settings.Timing.EntriesKeep), func() {
+		at, _ := m.endBy()
+		m.dispatcher.Stop(at)
+	})
 	expiry := time.NewTimer(time.Duration(m.deps.Settings.Timing.EntriesKeep) + leaveMargin - (m.deps.Clock.Now() - started))
 	defer expiry.Stop()
 	select {
@@ -331,6 +338,22 @@
 	}
 }
 
+// endBy returns the boot time by which requests must end because of a shutdown, which
+// then ends those that still run. Ok is false while callers may still use this instance's
+// address.
+func (m *Managed) endBy() (at time.Duration, ok bool) {
+	if !m.leaving.Load() {
+		return 0, false
+	}
+	timing, since := m.deps.Settings.Timing, time.Duration(m.leavingSince.Load())
+	at = since + time.Duration(timing.Shutdown) - answerTime
+	return at, m.deps.Clock.Now()-since >= time.Duration(timing.EntriesKeep)
+}
+
+// answerTime is the time between a request's deadline and the end of this instance in
+// which its answer is written.
+const answerTime = 200 * time.Millisecond
+
 // scoreFunc returns the function that calls a scoring service over its route.
 func (m *Managed) scoreFunc() steps.ScoreFunc {
 	s := scorer{
--- a/internal/daemon/managed_requests.go
+++ b/internal/daemon/managed_requests.go
@@ -57,6 +57,7 @@
 func (m *Managed) callerAttempt(onStart func(team string, at time.Time)) *filter.Attempt {
 	a := m.attempt()
 	a.Suspects = m.suspects
+	a.EndBy = m.endBy
 	a.RetryInternalErrors = true
 	a.OnRan = func(r *filter.Request, at time.Time) {
 		if r.Team != "" {
