Steps: TestOwnerDies ends the owner within its second samples

Traced: the owner died 6.0 s after the start, at the very instant at which the second four samples of 3 s end. When they were stored first, the next four had no events yet that could be resumed.

--- a/controller/steps/owner_test.go
+++ b/controller/steps/owner_test.go
@@ -94,7 +94,7 @@
 		defer cluster.stopAll()
 		const samples = 12
 		cluster.mustAccept(cluster.instances["a"], spec("s", samples))
-		time.Sleep(eventPeriod*eventCount + 2*time.Second)
+		time.Sleep(eventPeriod*eventCount + 3*time.Second/2) // the owner dies within the second samples
 		before := cluster.read(cluster.instances["b"], "s", samples, time.Second)
 		var survivors []string
 		for name, in := range cluster.instances {
