Steps: a restarted instance reaches its open steps before the ended ones

Cause: an instance that starts knows no step and reads the state of each, 1,800 that ended in the last minutes among them, at 150 calls a second. The others know which are open, but leave them to it, because they are assigned to it. All first reads and all claims shared one queue, and each queued read held the step's lock.

Weighed: letting any instance take a step over after a while (moves steps between instances for good, and two may try); deleting ended steps earlier (their results must be readable).

--- a/controller/steps/cluster_test.go
+++ b/controller/steps/cluster_test.go
@@ -62,7 +62,9 @@
 	speeds steps.Speeds
 	// countScores makes the score of each call a different one.
 	countScores bool
-	scoreCalls  atomic.Int64
+	// callsPerSecond, if set, limits the calls of instances that start.
+	callsPerSecond int
+	scoreCalls     atomic.Int64
 	// members is the table of the members' rows. If it is nil, setMembers sets the
 	// members.
 	members *fakeplatform.Platform
@@ -152,6 +154,9 @@
 	in := &instance{name: name, incarnation: incarnation, table: &faultyTables{Tables: cluster.fake.Tables()}, views: view.NewStore()}
 	state := config.NewState()
 	state.Services[service] = config.Service{Meta: config.Meta{Name: service}, Type: config.ServiceEngine}
+	if cluster.callsPerSecond > 0 {
+		in.table.limitCalls(cluster.callsPerSecond)
+	}
 	in.views.Update(func(v *view.View) {
 		v.SetConfig(state)
 		v.SetReplicas([]infra.Replica{{
--- a/controller/steps/controller.go
+++ b/controller/steps/controller.go
@@ -86,6 +86,8 @@
 	// lockedSteps contains the steps that are being accepted or claimed at this
 	// instance.
 	lockedSteps map[string]bool
+	// queuedReads contains the unknown steps whose first read is queued or runs.
+	queuedReads map[string]bool
 	cachedSteps map[string]*cachedStep
 	// loads contains what was read so far of steps that this instance owns and does
 	// not run yet.
@@ -98,8 +100,10 @@
 	ineligibleScans int
 	// leaving is set when this instance hands off its steps.
 	leaving bool
-	// claims has an entry for each step that is being claimed.
+	// claims has an entry for each step that is being claimed, and reads one for each
+	// unknown step that is being read.
 	claims  chan struct{}
+	reads   chan struct{}
 	running sync.WaitGroup
 	// waitingSamples is the number of samples that wait for an endpoint.
 	waitingSamples atomic.Int64
@@ -119,6 +123,8 @@
 		closed:      map[string]time.Duration{},
 		openSteps:   map[string]openStep{},
 		claims:      make(chan struct{}, maxClaims),
+		reads:       make(chan struct{}, maxClaims),
+		queuedReads: map[string]bool{},
 		lockedSteps: map[string]bool{},
 		cachedSteps: map[string]*cachedStep{},
 		loads:       map[string]*stepLoad{},
--- a/controller/steps/faultytables_test.go
+++ b/controller/steps/faultytables_test.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/cumincove/cumincove/infra"
 )
 
@@ -19,6 +21,8 @@
 	unknownWhenDown atomic.Bool
 	// stateDown makes reads of the rows of a step's state fail.
 	stateDown atomic.Bool
+	// limit, if set, limits the calls per second.
+	limit atomic.Pointer[rate.Limiter]
 	// slow is the delay of reads, in nanoseconds.
 	slow atomic.Int64
 	// interceptCommit, if set, is called instead of executing a transaction. It can
@@ -27,6 +31,19 @@
 	interceptCommit atomic.Pointer[func(commit func()) error]
 }
 
+func (f *faultyTables) limitCalls(perSecond int) {
+	f.limit.Store(rate.NewLimiter(rate.Limit(perSecond), perSecond/10))
+}
+
+// wait waits until the limit allows a call.
+func (f *faultyTables) wait(ctx context.Context) error {
+	l := f.limit.Load()
+	if l == nil || l.Wait(ctx) == nil {
+		return nil
+	}
+	return infra.ErrUnavailable
+}
+
 func (f *faultyTables) Part(name string) infra.Table { return &faultyTable{f.Tables.Part(name), f} }
 
 func (f *faultyTables) Parts(ctx context.Context, after string, limit int) ([]string, error) {
@@ -45,6 +62,9 @@
 	if t.faults.down.Load() || t.faults.stateDown.Load() && prefix == "state/" {
 		return nil, infra.ErrUnavailable
 	}
+	if err := t.faults.wait(ctx); err != nil {
+		return nil, err
+	}
 	rows, err := t.Table.List(ctx, prefix, after, limit)
 	size := 0
 	for _, row := range rows {
@@ -88,6 +108,9 @@
 	if exceedsLimits(ops) {
 		return infra.ErrUnavailable
 	}
+	if err := t.faults.wait(ctx); err != nil {
+		return err
+	}
 	if t.faults.down.Load() && t.faults.unknownWhenDown.Load() {
 		return infra.ErrUnknownOutcome
 	}
--- a/controller/steps/handoff.go
+++ b/controller/steps/handoff.go
@@ -130,7 +130,7 @@
 // Adopt runs, in the background, a step whose rows name the given incarnation of
 // this instance as the owner. If that fails, the next scan tries again.
 func (c *Controller) Adopt(id string, incarnation uint64) error {
-	if incarnation != c.o.Incarnation || !c.acceptsTakeOvers() {
+	if incarnation != c.o.Incarnation || !c.acceptsTakeOvers() || !c.o.MembersSynced() {
 		return errNotAdopted
 	}
 	c.claimInBackground(id, Owner{})
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -21,6 +21,8 @@
 	// claimTimeout bounds a claim, including the calls that determine the outcome
 	// of a write.
 	claimTimeout = 10 * time.Second
+	// requestPeriod is the time between two requests to another instance to run a step.
+	requestPeriod = time.Second
 	// maxClaims is the number of steps that are claimed at the same time.
 	maxClaims = 16
 )
@@ -48,6 +50,7 @@
 			break
 		}
 	}
+	s.readUnknown()
 	c.sweep(ctx)
 }
 
@@ -59,6 +62,8 @@
 	// reported that they run a step, by the step's ID.
 	membersAt time.Duration
 	reports   map[string]ownerReport
+	// unknown are the steps whose rows were not read yet.
+	unknown []string
 }
 
 // ownerReport is the report of an instance that it runs a step. Version is the
@@ -97,8 +102,11 @@
 	step, open := s.observe(id)
 	switch {
 	case !open:
-	case !step.known || !c.ownerAlive(step.owner) || c.ownerLeaving(step.owner):
+	case !step.known:
+		s.unknown = append(s.unknown, id)
+	case !c.ownerAlive(step.owner) || c.ownerLeaving(step.owner):
 		c.claimInBackground(id, Owner{})
+		c.requestSuccessor(id, step)
 	case c.successorExcept(id, step.spec, step.owner.Instance) == c.o.Self && s.prober.ownerLost(ctx, step.owner):
 		c.claimInBackground(id, step.owner)
 	case step.unreportedReads >= maxUnreportedReads && c.successorExcept(id, step.spec, "") == c.o.Self:
@@ -107,6 +115,46 @@
 	}
 }
 
+// readUnknown reads the unknown steps, those first that this instance would delete: each
+// instance reads another share first, and requests the successors of the open steps that
+// it finds to run them.
+func (s *stepScan) readUnknown() {
+	var others []string
+	for _, id := range s.unknown {
+		if s.c.sweeperOf(id) != s.c.o.Self {
+			others = append(others, id)
+			continue
+		}
+		s.c.readInBackground(id)
+	}
+	for _, id := range others {
+		s.c.readInBackground(id)
+	}
+}
+
+// requestSuccessor requests the instance that an open step without an owner is assigned
+// to, if that is another one, to run the step: it may have started just now and not know
+// the step yet.
+func (c *Controller) requestSuccessor(id string, step openStep) {
+	now := c.o.Clock.Now()
+	if c.ownerAlive(step.owner) || step.requestedAt > 0 && now-step.requestedAt < requestPeriod {
+		return
+	}
+	m, ok := c.o.Views.Load().Members[c.successorExcept(id, step.spec, "")]
+	if !ok || m.Name == c.o.Self {
+		return
+	}
+	c.mu.Lock()
+	if step, ok := c.openSteps[id]; ok {
+		step.requestedAt = now
+		c.openSteps[id] = step
+	}
+	c.mu.Unlock()
+	c.running.Go(func() {
+		_ = c.requestAdoption(c.ctx, id, Owner{m.Name, m.Incarnation}) // the next scan tries again
+	})
+}
+
 // observe updates what is known of a step with the members' reports, and returns it.
 // Open is false if the step needs no owner, or runs here.
 func (s *stepScan) observe(id string) (step openStep, open bool) {
--- a/controller/steps/successor.go
+++ b/controller/steps/successor.go
@@ -25,6 +25,9 @@
 	// last one.
 	unreportedReads int
 	membersAt       time.Duration
+	// requestedAt is when this instance last requested another one to run the step;
+	// zero if it has not.
+	requestedAt time.Duration
 }
 
 // recordOwner records the owner of a step, or that the step has ended, as read from
@@ -47,6 +50,14 @@
 	c.openSteps[id] = step
 }
 
+// isKnown reports whether the rows of a step were read, or it runs here.
+func (c *Controller) isKnown(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, closed := c.closed[id]
+	return closed || c.openSteps[id].known || c.runners[id] != nil
+}
+
 // isClosed reports whether a step is known to be done or ended.
 func (c *Controller) isClosed(id string) bool {
 	c.mu.Lock()
--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -32,6 +32,42 @@
 	})
 }
 
+// readInBackground claims an unknown step. The reads of unknown steps are separate from
+// the claims of known ones, which do not wait for them: most of the steps that an
+// instance does not know when it starts have ended. The step is not locked until its turn
+// comes, so that another instance can request this one to run it meanwhile.
+func (c *Controller) readInBackground(id string) {
+	c.mu.Lock()
+	queued := c.queuedReads[id]
+	c.queuedReads[id] = true
+	c.mu.Unlock()
+	if queued {
+		return
+	}
+	c.running.Go(func() {
+		defer c.endRead(id)
+		select {
+		case c.reads <- struct{}{}:
+		case <-c.ctx.Done():
+			return
+		}
+		defer func() { <-c.reads }()
+		if c.isKnown(id) || !c.tryLockStep(id) {
+			return
+		}
+		defer c.unlockStep(id)
+		ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
+		defer cancel()
+		c.claim(ctx, id, Owner{})
+	})
+}
+
+func (c *Controller) endRead(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.queuedReads, id)
+}
+
 // claimInBackground calls claim in the background.
 func (c *Controller) claimInBackground(id string, lost Owner) {
 	c.inBackground(id, func(ctx context.Context) { c.claim(ctx, id, lost) })
