Durable: an endpoint is closed by a probe only while the probe runs

Cause: probing was a flag that three of five ways in which a stream ends took back. A stream that is moved (pace.go) or leaves an evacuated data centre (evacuate.go) did not.

Now the back-off names the stream that probes, and counts only while that runs, so no way in which it ends can leave the endpoint closed. Weighed: taking the flag back in the two places (the next way to end a stream would forget it again).

--- a/durable/placement.go
+++ b/durable/placement.go
@@ -20,14 +20,14 @@
 
 // startAt returns the action that starts a sample's stream at an endpoint.
 func (s *Step) startAt(now time.Duration, p *sample, e *Endpoint) Action {
-	if b, ok := s.backoffs[e.Name]; ok {
-		b.probing = true
-		s.backoffs[e.Name] = b
-	}
 	e.FreeSlots--
 	e.Load += loadPerStream(e)
 	e.IdleConnections--
 	s.nextRun++
+	if b, ok := s.backoffs[e.Name]; ok {
+		b.probe = s.nextRun
+		s.backoffs[e.Name] = b
+	}
 	p.state = running
 	p.run = s.nextRun
 	p.endpoint = e.Name
@@ -85,7 +85,7 @@
 		// Each step starts its search at a different endpoint, so that steps whose
 		// owners have the same view of the endpoints don't all choose the same one.
 		e := &endpoints[(s.searchOffset+i)%len(endpoints)]
-		if e.FreeSlots <= 0 || !s.accepts(p, e.Version) || s.backoffs[e.Name].active(now) {
+		if e.FreeSlots <= 0 || !s.accepts(p, e.Version) || s.backedOff(now, e.Name) {
 			continue
 		}
 		group, rank := 0, 0
@@ -138,7 +138,6 @@
 	if now < b.until {
 		return
 	}
-	b.probing = false
 	b.until = now + min(minEndpointBackoff<<min(b.refusals, 5), maxEndpointBackoff)
 	b.refusals++
 	s.backoffs[endpoint] = b
--- a/durable/room.go
+++ b/durable/room.go
@@ -97,7 +97,7 @@
 	free := 0
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.FreeSlots > 0 && e.Version >= s.spec.MinVersion && !s.backoffs[e.Name].active(now) {
+		if e.FreeSlots > 0 && e.Version >= s.spec.MinVersion && !s.backedOff(now, e.Name) {
 			free += e.FreeSlots
 		}
 	}
--- a/durable/speed_test.go
+++ b/durable/speed_test.go
@@ -178,7 +178,7 @@
 	bestAvoided, least := false, 0.0
 	for i := range endpoints {
 		e := &endpoints[(s.searchOffset+i)%len(endpoints)]
-		if e.FreeSlots <= 0 || !s.accepts(p, e.Version) || s.backoffs[e.Name].active(now) {
+		if e.FreeSlots <= 0 || !s.accepts(p, e.Version) || s.backedOff(now, e.Name) {
 			continue
 		}
 		avoided := e.Name == p.avoid && now < p.avoidUntil || s.slow(e.Name)
--- a/durable/step.go
+++ b/durable/step.go
@@ -111,17 +111,20 @@
 
 // endpointBackoff suspends the use of an endpoint until a time. After that time a
 // single sample probes the endpoint. Other samples follow only once the probe has
-// delivered an event or ended for a reason other than a refusal.
+// delivered an event, ended for a reason other than a refusal, or was cancelled.
 type endpointBackoff struct {
 	until time.Duration
-	// refusals counts consecutive refusals, and probing reports that a sample
-	// probes the endpoint.
+	// refusals counts consecutive refusals, and probe is the stream that probes the
+	// endpoint, as long as it runs.
 	refusals int
-	probing  bool
+	probe    RunID
 }
 
-// active reports whether the endpoint must not be used for further samples.
-func (b endpointBackoff) active(now time.Duration) bool { return now < b.until || b.probing }
+// backedOff reports whether an endpoint must not be used for further samples.
+func (s *Step) backedOff(now time.Duration, endpoint string) bool {
+	b, ok := s.backoffs[endpoint]
+	return ok && (now < b.until || s.byRun[b.probe] != nil)
+}
 
 // New returns a Step that resumes from the stored results, in order of position,
 // and from the saved state of other samples.
--- a/durable/urgency.go
+++ b/durable/urgency.go
@@ -44,7 +44,7 @@
 	}
 	for i := range endpoints {
 		f := &endpoints[i]
-		if f.speed() <= e.speed() || f.FreeSlots <= 0 || !s.accepts(p, f.Version) || s.backoffs[f.Name].active(now) ||
+		if f.speed() <= e.speed() || f.FreeSlots <= 0 || !s.accepts(p, f.Version) || s.backedOff(now, f.Name) ||
 			f.Name == p.avoid && now < p.avoidUntil || s.slow(f.Name) {
 			continue
 		}
