Platform: an instance's own calls of the store have room whatever callers read

Now a call has a class: the instance's own, callers' writes, callers' reads and reads of whole steps. What finds no turn in its time is refused at once, as before.

Weighed: longer limits for own calls (they would be late instead); a queue by priority (an own call waits for a turn anyway only if the sum is too small, which shares prevent).

--- a/controller/steps/accept.go
+++ b/controller/steps/accept.go
@@ -34,6 +34,7 @@
 	}
 	defer c.unlockStep(spec.ID)
 	spec.MaxScoreFailures = c.maxScoreFailures(spec)
+	ctx = infra.WithClass(ctx, infra.ClassCaller)
 	sub := submission{c: c, spec: spec, t: c.table(spec.ID), tag: rand.Text()[:8], runner: c.runnerOf(spec)}
 	err := sub.run(ctx)
 	if err != nil {
@@ -254,6 +255,7 @@
 // writeEnd writes the row that ends a step, and retries until the row is stored or
 // ctx ends.
 func (c *Controller) writeEnd(ctx context.Context, id string) error {
+	ctx = infra.WithClass(ctx, infra.ClassCaller)
 	value, err := json.Marshal(endRow{By: c.o.Self})
 	if err != nil {
 		return err
--- a/controller/steps/reader.go
+++ b/controller/steps/reader.go
@@ -8,6 +8,7 @@
 
 	"github.com/cumincove/cumincove/code"
 	"github.com/cumincove/cumincove/durable"
+	"github.com/cumincove/cumincove/infra"
 )
 
 const (
@@ -56,6 +57,7 @@
 // if there is none and the team is empty, and code.StoreDown if the store cannot be
 // read.
 func (c *Controller) lookup(ctx context.Context, id, team string) (state, error) {
+	ctx = infra.WithClass(ctx, infra.ClassBulk)
 	c.mu.Lock()
 	cached := c.cachedSteps[id]
 	c.mu.Unlock()
@@ -156,6 +158,7 @@
 // results returns the results from a position on that are in memory. If there are
 // none, it reads further results from the store.
 func (c *Controller) results(ctx context.Context, id string, cached *cachedStep, from, total int) ([]durable.Result, error) {
+	ctx = infra.WithClass(ctx, infra.ClassBulk)
 	if r := c.runner(id); r != nil {
 		if list := r.resultsFrom(from); len(list) > 0 {
 			return list, nil
@@ -214,7 +217,7 @@
 func (c *Controller) sample(ctx context.Context, id string, h head, sample string) (durable.Sample, bool, error) {
 	r := c.runner(id)
 	if r == nil {
-		return findSample(ctx, c.table(id), h, sample)
+		return findSample(infra.WithClass(ctx, infra.ClassBulk), c.table(id), h, sample)
 	}
 	i := slices.IndexFunc(r.spec.Samples, func(s durable.Sample) bool { return s.ID == sample })
 	if i < 0 {
--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -58,7 +58,7 @@
 		defer c.unlockStep(id)
 		ctx, cancel := context.WithTimeout(c.ctx, claimTimeout)
 		defer cancel()
-		c.claim(ctx, id, Owner{})
+		c.claim(infra.WithClass(ctx, infra.ClassBulk), id, Owner{})
 	})
 }
 
