Steps: ended steps that others believe open don't keep a restarted instance busy

An instance learns that a step has ended only when it reads its state, so all that the killed owner had ended counted as open; and the loads of open steps stood behind the first reads of the ended ones in the queue of the store's calls.

Now a step that its owner, while alive, did not report in two reads is idle. When the owner is gone, idle steps are read in the slow queue with the unknown ones, and nobody is requested to run them. Loads of whole steps belong to the class of callers' writes.

Also: a read of results counted texts twice towards its size.

--- a/controller/steps/load.go
+++ b/controller/steps/load.go
@@ -38,7 +38,7 @@
 // time. The reported sample state is newer than the samples' rows and takes
 // precedence.
 func (l *stepLoad) run(ctx context.Context, reported []durable.Saved) (loadedStep, error) {
-	ctx = infra.WithClass(ctx, infra.ClassBulk)
+	ctx = infra.WithClass(ctx, infra.ClassCaller)
 	if err := l.readSamples(ctx); err != nil {
 		return loadedStep{}, err
 	}
--- a/controller/steps/results.go
+++ b/controller/steps/results.go
@@ -132,7 +132,7 @@
 			return nil, fmt.Errorf("read %s: %w", v.prefix, err)
 		}
 		results = append(results, r)
-		size += len(v.data) + len(r.Text)
+		size += max(len(v.data), len(r.Text))
 	}
 	return results, nil
 }
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -18,6 +18,8 @@
 	// no instance reports a step, after which the step's owner is checked. A step
 	// that was just accepted is reported within two reads.
 	maxUnreportedReads = 3
+	// idleReads is the number after which a step of an owner that is alive is idle.
+	idleReads = 2
 	// claimTimeout bounds a claim, including the calls that determine the outcome
 	// of a write.
 	claimTimeout = 10 * time.Second
@@ -62,7 +64,10 @@
 	// reported that they run a step, by the step's ID.
 	membersAt time.Duration
 	reports   map[string]ownerReport
-	// unknown are the steps whose rows were not read yet.
+	// alive are the owners that are members.
+	alive map[Owner]bool
+	// unknown are the steps whose rows were not read yet, and the idle ones of owners
+	// that are down.
 	unknown []string
 }
 
@@ -75,8 +80,12 @@
 
 func (c *Controller) newScan() *stepScan {
 	v := c.o.Views.Load()
+	alive := map[Owner]bool{}
+	for name, m := range v.Members {
+		alive[Owner{name, m.Incarnation}] = true
+	}
 	return &stepScan{
-		c: c, prober: ownerProber{c: c, probed: map[Owner]bool{}},
+		c: c, alive: alive, prober: ownerProber{c: c, probed: map[Owner]bool{}},
 		membersAt: v.MembersAt, reports: reportsOf(v),
 	}
 }
@@ -102,7 +111,7 @@
 	step, open := s.observe(id)
 	switch {
 	case !open:
-	case !step.known:
+	case !step.known || step.idle && !c.ownerAlive(step.owner):
 		s.unknown = append(s.unknown, id)
 	case !c.ownerAlive(step.owner) || c.ownerLeaving(step.owner):
 		c.claimInBackground(id, Owner{})
@@ -115,7 +124,7 @@
 	}
 }
 
-// readUnknown reads the unknown steps, those first that this instance would delete: each
+// readUnknown reads the unknown and the idle steps, those first that this instance would delete: each
 // instance reads another share first, and requests the successors of the open steps that
 // it finds to run them.
 func (s *stepScan) readUnknown() {
@@ -172,9 +181,12 @@
 	switch {
 	case reported && report.version >= step.ownerVersion:
 		step.owner, step.ownerVersion = report.owner, report.version
-		step.unreportedReads = 0
+		step.unreportedReads, step.idle = 0, false
 	case step.membersAt != s.membersAt:
 		step.unreportedReads++
+		if step.unreportedReads >= idleReads && s.alive[step.owner] {
+			step.idle = true
+		}
 	}
 	step.membersAt = s.membersAt
 	c.openSteps[id] = step
--- a/controller/steps/successor.go
+++ b/controller/steps/successor.go
@@ -25,6 +25,9 @@
 	// last one.
 	unreportedReads int
 	membersAt       time.Duration
+	// idle is set while the owner, which is a member, does not report the step: most of
+	// these have ended.
+	idle bool
 	// requestedAt is when this instance last requested another one to run the step;
 	// zero if it has not.
 	requestedAt time.Duration
@@ -50,12 +53,13 @@
 	c.openSteps[id] = step
 }
 
-// isKnown reports whether the rows of a step were read, or it runs here.
-func (c *Controller) isKnown(id string) bool {
+// needsRead reports whether a step is unknown or idle, and does not run here.
+func (c *Controller) needsRead(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_, closed := c.closed[id]
-	return closed || c.openSteps[id].known || c.runners[id] != nil
+	step := c.openSteps[id]
+	return !closed && c.runners[id] == nil && (!step.known || step.idle)
 }
 
 // isClosed reports whether a step is known to be done or ended.
--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -32,10 +32,11 @@
 	})
 }
 
-// readInBackground claims an unknown step. The reads of unknown steps are separate from
-// the claims of known ones, which do not wait for them: most of the steps that an
-// instance does not know when it starts have ended. The step is not locked until its turn
-// comes, so that another instance can request this one to run it meanwhile.
+// readInBackground claims a step that is unknown or idle. These reads are separate from
+// the claims of other steps, which do not wait for them: most of the steps that an
+// instance does not know when it starts, or that their owner did not report, have ended.
+// The step is not locked until its turn comes, so that another instance can request this
+// one to run it meanwhile.
 func (c *Controller) readInBackground(id string) {
 	c.mu.Lock()
 	queued := c.queuedReads[id]
@@ -52,7 +53,7 @@
 			return
 		}
 		defer func() { <-c.reads }()
-		if c.isKnown(id) || !c.tryLockStep(id) {
+		if !c.needsRead(id) || !c.tryLockStep(id) {
 			return
 		}
 		defer c.unlockStep(id)
--- a/infra/class.go
+++ b/infra/class.go
@@ -11,10 +11,10 @@
 	// ClassOwn is for what the instance itself needs: its configuration, the members,
 	// leases, and the results of the steps that it runs.
 	ClassOwn Class = iota
-	// ClassCaller is for calls that callers cause and that write.
+	// ClassCaller is for writes that callers cause, and for reads of whole steps.
 	ClassCaller
-	// ClassBulk is for reads that callers cause, of which there can be any number, and
-	// for reads of whole steps.
+	// ClassBulk is for reads of which there can be any number: those that callers cause,
+	// and those of steps that an instance does not know.
 	ClassBulk
 )
 
