Answers that callers don't take count towards the memory for requests

Cause: a request of 200 bytes passed the budget, and its answer, encoded whole and kept until the client takes it, counted nowhere.

Not counted: streams that callers read slowly (32 KB each), bodies while they are read from the store.

--- a/internal/daemon/managed.go
+++ b/internal/daemon/managed.go
@@ -72,6 +72,8 @@
 	Addresses func(dataCentre string, limit int) []string
 	// KeepAddresses is how long callers may keep addresses.
 	KeepAddresses time.Duration
+	// Memory is the memory for answers that callers have not taken yet.
+	Memory *membudget.Budget
 }
 
 // ManagedDeps are the dependencies of a Managed instance.
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -26,6 +26,7 @@
 		Ready:         m.ready,
 		Addresses:     m.addresses,
 		KeepAddresses: time.Duration(m.deps.Settings.Timing.EntriesKeep),
+		Memory:        m.budget,
 	}
 }
 
