Steps: a read returns the result at its position, however many are before it

An instance that had not read a step yet answered with no result.

Cause: since results are read in parts of about 0.9 MB, a read from a late position stopped at the end of the first part. It goes on now until the position is reached.

--- a/controller/steps/readback_test.go
+++ b/controller/steps/readback_test.go
@@ -291,6 +291,27 @@
 	}
 }
 
+// TestLatePositionCanBeRead guards against an instance that returns no result at a
+// position that has one, because the results before it are more than it reads at once.
+func TestLatePositionCanBeRead(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, "a", "b")
+		defer cluster.stopAll()
+		cluster.engines.events = []string{strings.Repeat("t", 50_000)}
+		const samples = 60
+		cluster.mustAccept(cluster.instances["a"], spec("s", samples))
+		time.Sleep(time.Minute)
+		for from := samples - 1; from >= 0; from -= 7 {
+			in := cluster.start(fmt.Sprint("reader", from), 1)
+			list, err := in.Read(t.Context(), "s", team, from, 0)
+			if err != nil || len(list.Results) == 0 || list.Next <= from {
+				t.Errorf("from %d: %d results, next %d, error %v", from, len(list.Results), list.Next, err)
+			}
+			in.stop()
+		}
+	})
+}
+
 // TestUndecodableSavedStateStartsAnew guards against a step that no instance can read
 // because the saved state of one sample can't be decoded.
 func TestUndecodableSavedStateStartsAnew(t *testing.T) {
--- a/controller/steps/reader.go
+++ b/controller/steps/reader.go
@@ -156,7 +156,7 @@
 }
 
 // results returns the results from a position on that are in memory. If there are
-// none, it reads further results from the store.
+// none, it reads further results from the store, up to one at the position.
 func (c *Controller) results(ctx context.Context, id string, cached *cachedStep, from, total int) ([]durable.Result, error) {
 	ctx = infra.WithClass(ctx, infra.ClassBulk)
 	if r := c.runner(id); r != nil {
@@ -171,14 +171,16 @@
 		return nil, ctx.Err()
 	}
 	defer func() { cached.readLock <- struct{}{} }()
-	if from < len(cached.results) || len(cached.results) >= total {
-		return cached.results[min(from, len(cached.results)):], nil
-	}
-	list, err := readResults(ctx, c.table(id), len(cached.results))
-	if err != nil {
-		return nil, err
+	for len(cached.results) <= from && len(cached.results) < total {
+		list, err := readResults(ctx, c.table(id), len(cached.results))
+		if err != nil {
+			return nil, err
+		}
+		if len(list) == 0 {
+			break
+		}
+		cached.results = append(cached.results, list...)
 	}
-	cached.results = append(cached.results, list...)
 	return cached.results[min(from, len(cached.results)):], nil
 }
 
