--- a/controller/steps/readback_test.go
+++ b/controller/steps/readback_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -325,3 +326,29 @@
 		cluster.mustRead(cluster.instances["b"], "s", 2, time.Minute)
 	})
 }
+
+// TestOddRowNumbersAreIgnored guards against a row of another writer whose number makes an
+// instance allocate that many rows, or makes a step unreadable.
+func TestOddRowNumbersAreIgnored(t *testing.T) {
+	for _, key := range []string{"spec/%s/00000/99999999", "spec/%s/00000/x", "spec/%s/00000/-1"} {
+		t.Run(key, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := spec("s", 2)
+				cluster := newReadBackCluster(t, s)
+				defer cluster.stopAll()
+				tag := strings.Split(cluster.partRows("s", "spec/")[0].Key, "/")[1]
+				cluster.commit("s", infra.Put(fmt.Sprintf(key, tag), []byte(".")))
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				if err := cluster.checkReadBack(s); err != nil {
+					t.Error(err)
+				}
+				runtime.ReadMemStats(&after)
+				const limit = 256 << 20
+				if n := after.TotalAlloc - before.TotalAlloc; n > limit {
+					t.Errorf("%d bytes were allocated, want at most %d", n, limit)
+				}
+			})
+		})
+	}
+}
--- a/controller/steps/restart_test.go
+++ b/controller/steps/restart_test.go
@@ -84,3 +84,17 @@
 		})
 	}
 }
+
+// TestRowsWithoutHeadAreNobodysStep guards against instances that request each other for
+// ever to run a step of which there are only samples, because its submission was given up.
+func TestRowsWithoutHeadAreNobodysStep(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newHandoffCluster(t, "a", "b")
+		defer cluster.stopAll()
+		cluster.commit("s", infra.Put("spec/tag/00000/00", []byte(".[]")))
+		time.Sleep(time.Minute)
+		if n := cluster.handoff.adopts.Load(); n > 0 {
+			t.Errorf("%d requests to run the step, want none", n)
+		}
+	})
+}
--- a/controller/steps/scan.go
+++ b/controller/steps/scan.go
@@ -124,9 +124,9 @@
 	}
 }
 
-// readUnknown reads the unknown and the idle steps, those first that this instance would delete: each
-// instance reads another share first, and requests the successors of the open steps that
-// it finds to run them.
+// readUnknown reads the unknown and the idle steps, those first that this instance would
+// delete: each instance reads another share first, and requests the successors of the
+// open steps that it finds to run them.
 func (s *stepScan) readUnknown() {
 	var others []string
 	for _, id := range s.unknown {
@@ -146,7 +146,8 @@
 // the step yet.
 func (c *Controller) requestSuccessor(id string, step openStep) {
 	now := c.o.Clock.Now()
-	if c.ownerAlive(step.owner) || step.requestedAt > 0 && now-step.requestedAt < requestPeriod {
+	recently := step.requestedAt > 0 && now-step.requestedAt < requestPeriod
+	if !step.accepted || c.ownerAlive(step.owner) || recently {
 		return
 	}
 	m, ok := c.o.Views.Load().Members[c.successorExcept(id, step.spec, "")]
--- a/controller/steps/successor.go
+++ b/controller/steps/successor.go
@@ -12,8 +12,8 @@
 
 // openStep is what this instance knows of a step that may need an owner.
 type openStep struct {
-	// known is set once the step's rows were read.
-	known bool
+	// known is set once the step's rows were read, and accepted if it was accepted then.
+	known, accepted bool
 	// owner is the owner as last read or reported, and ownerVersion the version of
 	// its row.
 	owner        Owner
@@ -48,7 +48,8 @@
 	}
 	s.head.Spec.Samples = nil
 	step := c.openSteps[id]
-	step.known, step.spec = true, s.head.Spec
+	step.known, step.accepted, step.spec = true, s.accepted(), s.head.Spec
+	step.idle = false // until its owner, if it has one, does not report it again
 	step.owner, step.ownerVersion = s.owner, s.ownerVersion
 	c.openSteps[id] = step
 }
--- a/controller/steps/transfer.go
+++ b/controller/steps/transfer.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return false
 	}
-	c.recordOwner(r.spec.ID, state{head: head{Spec: r.spec}, owner: Owner{m.Name, m.Incarnation}, ownerVersion: r.ownerVersion})
+	c.recordOwner(r.spec.ID, state{head: head{Spec: r.spec}, headVersion: 1, owner: Owner{m.Name, m.Incarnation}, ownerVersion: r.ownerVersion})
 	r.stopRunner()
 	return true
 }
