A planned stop still retries what may have run

Found by reading the change. In a planned stop, a request whose first attempt was lost after 2 s was answered 502 at once, although another endpoint could have answered it within the time left: the check for a certain end refused the second attempt, too. It holds now only for a request that has not run, which another instance can run.

--- a/filter/attempt.go
+++ b/filter/attempt.go
@@ -448,8 +448,10 @@
 	if err := t.stillAllowed(); err != nil {
 		return err
 	}
-	if err := t.a.checkEnd(t.r); err != nil {
-		return err
+	if t.rec.Outcome() == outcome.NotRun { // another instance can run it
+		if err := t.a.checkEnd(t.r); err != nil {
+			return err
+		}
 	}
 	if !slot.MaySend() {
 		return code.New(code.EndpointLimits, "endpoint %s", slot.Endpoint.Name)
