--- a/controller/steps/upgrade_test.go
+++ b/controller/steps/upgrade_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -75,3 +77,53 @@
 		}
 	})
 }
+
+// peerMessage is a request to another instance.
+type peerMessage struct {
+	Path, ContentType string
+	Body              []byte
+}
+
+// TestMessagesOfEarlierBuild guards against an upgrade in which this build doesn't
+// understand the last landed one, which asks whether it is alive, requests it to run a step
+// that names it as the owner, and transfers one with the state of its samples.
+func TestMessagesOfEarlierBuild(t *testing.T) {
+	data, err := os.ReadFile("testdata/messages-712bc38.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var messages []peerMessage
+	if err := json.Unmarshal(data, &messages); err != nil {
+		t.Fatal(err)
+	}
+	bubble.Test(t, func(t *testing.T) {
+		cluster := newTestCluster(t, "a", "b")
+		defer cluster.stopAll()
+		a, b := cluster.instances["a"], cluster.instances["b"]
+		cluster.mustAccept(b, spec("s", 2))
+		cluster.mustAccept(b, spec("adopted", 1))
+		cluster.setOwner("adopted", "a")
+		b.table.down.Store(true)
+		_, handler := a.PeerHandler()
+		for _, m := range messages {
+			r := httptest.NewRequest(http.MethodPost, m.Path, bytes.NewReader(m.Body))
+			r.Header.Set("Content-Type", m.ContentType)
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			if w.Code != http.StatusOK {
+				t.Errorf("%s: %d %s", m.Path, w.Code, w.Body)
+			}
+		}
+		time.Sleep(time.Second)
+		if n := a.OpenSteps(); n != 2 {
+			t.Errorf("%d steps run, want the adopted and the transferred one", n)
+		}
+		cluster.mustRead(a, "s", 2, time.Minute)
+		if runs := cluster.engines.runs("s-1"); runs[len(runs)-1] != 2 {
+			t.Errorf("s-1 was started after the events %v, last after 2, as was told", runs)
+		}
+		if runs := cluster.engines.runs("s-0"); len(runs) != 1 {
+			t.Errorf("s-0, which was told whole, was started %d times, want once, by the earlier owner", len(runs))
+		}
+	})
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -134,3 +135,19 @@
 		}
 	}
 }
+
+// TestSettingsOfEarlierBuild guards against an upgrade in which this build refuses the
+// settings of the last landed one, or reads them otherwise.
+func TestSettingsOfEarlierBuild(t *testing.T) {
+	data, err := os.ReadFile("testdata/managed-712bc38.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Platform.Kind != settings.KindManaged || time.Duration(s.Timing.Shutdown) != 6500*time.Millisecond || s.Limits.MemoryMB != 314 {
+		t.Errorf("unexpected settings: %+v", s)
+	}
+}
