Steps: TestStreamsLeaveEvacuatedDataCentre orders what happened at one instant

Traced, both ways it failed are ties of the test. "4 moved, 0 ended": the stream that had no room elsewhere and the three that moved end at the same instant, 3 s; when one that moved ended first, its slot was free for the fourth, which may move then. "0 moved": a tick of the step is due at the instant of the two updates and could come between them, when waiting samples rightly take the new endpoint.

Streams that moved are slower now, and the updates come between two ticks.

--- a/controller/steps/evacuate_test.go
+++ b/controller/steps/evacuate_test.go
@@ -9,6 +9,9 @@
 	"github.com/cumincove/cumincove/view"
 )
 
+// waitingTick is the time between two ticks of a step whose samples wait.
+const waitingTick = 20 * time.Millisecond
+
 // TestStreamsLeaveEvacuatedDataCentre checks that the streams at the engines of an
 // evacuated data centre continue after their last event at others with free slots, that
 // those without a slot elsewhere end where they are, and that nothing more starts there.
@@ -16,12 +19,15 @@
 	bubble.Test(t, func(t *testing.T) {
 		cluster := newTestCluster(t, "a")
 		defer cluster.stopAll()
+		// A stream that moved ends after the one that could not, so that its slot is not
+		// free before.
+		cluster.engines.pause = func(_ string, run int) time.Duration { return eventPeriod + time.Duration(run)*eventPeriod/5 }
 		first, second := replica("e1", service, 1), replica("e2", service, 1)
 		first.DataCentre, second.DataCentre = "y", "z"
 		const samples = 12
 		cluster.configure(1, to(service), []infra.Replica{first}, "a")
 		cluster.mustAccept(cluster.instances["a"], routedSpec("s", samples, 1))
-		time.Sleep(time.Second) // all four slots of e1 have a stream
+		time.Sleep(time.Second + waitingTick/2) // all four slots of e1 have a stream, and no tick is due
 		second.Slots = 3
 		cluster.configure(1, to(service), []infra.Replica{first, second}, "a")
 		cluster.instances["a"].views.Update(func(v *view.View) { v.SetEvacuated(map[string]bool{"y": true}) })
