Gossip: an instance that does not respond takes no others' turns

Cause: members and neighbours were drawn at random for each exchange, with repetition. Now they are visited in turn, as the other peers were already. Messages are as they were.

--- a/gossip/node.go
+++ b/gossip/node.go
@@ -93,8 +93,8 @@
 	unvisited           []string      // peers not visited yet in this round
 	nextExchange        time.Duration // time of the next periodic exchange
 	rounds              int           // number of periodic exchanges
-	preferredNames      []string
-	neighbourNames      []string
+	preferred           rotation
+	neighbours          rotation
 	requestsSinceVector int  // requests since the last one with the complete vector
 	digestsDiffer       bool // whether a peer's digest has differed since that request
 
@@ -306,36 +306,33 @@
 // Prefer makes every second periodic exchange go to one of these instances. It
 // is meant for instances that depend most on each other's messages. An empty
 // list prefers none.
-func (n *Node) Prefer(names []string) { n.preferredNames = names }
+func (n *Node) Prefer(names []string) { n.preferred.names = names }
 
 // SetNeighbours makes most periodic exchanges go to these instances, which
 // limits the number of connections; see Neighbours. If the list is empty,
 // exchanges go to all peers.
-func (n *Node) SetNeighbours(names []string) { n.neighbourNames = names }
+func (n *Node) SetNeighbours(names []string) { n.neighbours.names = names }
 
-// neighbour returns a random neighbour. It returns false if that one is down or
-// has left, or if the exchange must go to any peer.
-func (n *Node) neighbour() (Peer, bool) {
-	if len(n.neighbourNames) == 0 || n.rounds%anyPeerInterval == 0 {
-		return Peer{}, false
-	}
-	name := n.neighbourNames[n.rnd.IntN(len(n.neighbourNames))]
-	m, ok := n.members[name]
-	if !ok || name == n.self || m.status == Down || m.status == Left {
-		return Peer{}, false
-	}
-	return Peer{Name: name, Addr: m.rec.Addr}, true
+// rotation visits instances in random order, each once before any again. An instance
+// that does not respond thus takes no more turns than each of the others.
+type rotation struct {
+	names, unvisited []string
 }
 
-// preferred returns a random preferred peer. It returns false if that one is
-// down or has left, or if the exchange must go to another peer.
-func (n *Node) preferred() (Peer, bool) {
-	if len(n.preferredNames) == 0 || n.rounds%2 == 0 {
+// next returns the next peer of a rotation. It returns false if there is none, or if
+// that one is down or has left.
+func (n *Node) next(r *rotation) (Peer, bool) {
+	if len(r.unvisited) == 0 {
+		r.unvisited = slices.DeleteFunc(slices.Clone(r.names), func(name string) bool { return name == n.self })
+		n.shuffle(r.unvisited)
+	}
+	if len(r.unvisited) == 0 {
 		return Peer{}, false
 	}
-	name := n.preferredNames[n.rnd.IntN(len(n.preferredNames))]
+	name := r.unvisited[0]
+	r.unvisited = r.unvisited[1:]
 	m, ok := n.members[name]
-	if !ok || name == n.self || m.status == Down || m.status == Left {
+	if !ok || m.status == Down || m.status == Left {
 		return Peer{}, false
 	}
 	return Peer{Name: name, Addr: m.rec.Addr}, true
@@ -348,11 +345,15 @@
 // messages again after each considers the other down.
 func (n *Node) nextPeer() (Peer, bool) {
 	n.rounds++
-	if p, ok := n.preferred(); ok {
-		return p, true
+	if n.rounds%2 != 0 {
+		if p, ok := n.next(&n.preferred); ok {
+			return p, true
+		}
 	}
-	if p, ok := n.neighbour(); ok {
-		return p, true
+	if n.rounds%anyPeerInterval != 0 {
+		if p, ok := n.next(&n.neighbours); ok {
+			return p, true
+		}
 	}
 	tryDown := n.rounds%downRetryInterval == 0
 	for range 2 {
