--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -33,7 +33,8 @@
 
 // shutdown starts to leave and waits until callers no longer use this instance's
 // address, or until the context failed ends. It then hands off the steps, refuses
-// new requests, and waits for the requests in flight.
+// new requests, waits for the requests in flight, and tells the other instances that
+// it has left, before they fail to reach it.
 func (d *Daemon) shutdown(failed context.Context, servers []*server) {
 	d.leave()
 	expiry := time.NewTimer(d.addressExpiry())
@@ -48,6 +49,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.deps.Settings.Limits.RequestTime))
 	defer cancel()
 	for _, s := range servers {
+		if s.name == peersListener {
+			d.membership.Leave(ctx)
+		}
 		err := s.stop(ctx)
 		cut := errors.Is(err, context.DeadlineExceeded)
 		invariant.Check(invariant.ShutdownCutsNone, !cut, "listener %s", s.name)
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -17,13 +17,16 @@
 	http11 = "http/1.1"
 )
 
+// peersListener is the name of the listener for other instances.
+const peersListener = "peers"
+
 func (d *Daemon) listen() ([]*server, error) {
 	l, tls := d.deps.Settings.Listen, d.deps.TLS
 	open := listeners{open: d.deps.Listen, limits: d.deps.Settings.Limits, budget: d.budget, log: d.deps.Log}
 	return open.openAll([]listenerSpec{
 		{name: "callers", addr: l.Callers, maxConns: d.clientLimits.callers, callers: true, tls: tls.Callers, h: withOKCode(d.callerHandler())},
 		{
-			name: "peers", addr: l.Peers, maxConns: d.clientLimits.peers, tls: tls.Peers,
+			name: peersListener, addr: l.Peers, maxConns: d.clientLimits.peers, tls: tls.Peers,
 			protocols: []string{http2, http11}, http2: true, metered: true, h: d.peerHandler(),
 		},
 		{name: "operators", addr: l.Operators, maxConns: d.clientLimits.others, tls: tls.Operators, h: withOKCode(d.operatorHandler())},
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -38,7 +38,7 @@
 			name: "callers", addr: l.Callers, maxConns: c.callers, callers: true, timeouts: m.connTimeouts,
 			tls: tls.Callers, h: m.deps.Adapter.Callers(sys),
 		},
-		{name: "peers", addr: l.Peers, maxConns: c.peers, tls: tls.Peers, metered: true, h: m.peerHandler()},
+		{name: peersListener, addr: l.Peers, maxConns: c.peers, tls: tls.Peers, metered: true, h: m.peerHandler()},
 		{name: "readiness", addr: l.Readiness, maxConns: c.others, h: m.deps.Adapter.Readiness(sys)},
 		{name: "entries", addr: l.Entries, maxConns: c.others, h: m.deps.Adapter.Entries(sys)},
 		{name: "operators", addr: l.Operators, maxConns: c.others, tls: tls.Operators, h: m.monitoring()},
--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -319,6 +319,28 @@
 	}
 }
 
+// TestStoppedInstanceHasLeft checks that the other instances no longer contact an
+// instance once it has shut down. Otherwise they take it for a suspect first, and try
+// it instead of each other.
+func TestStoppedInstanceHasLeft(t *testing.T) {
+	b := newTestbed(t)
+	stopped := b.sys.Instances[0]
+	if err := stopped.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	for _, in := range b.sys.Instances[1:] {
+		st, err := systemtest.OperatorClient(in, http.DefaultClient).Status(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range st.Members {
+			if m.Name == stopped.Settings.Name {
+				t.Errorf("%s still lists the instance that has shut down", in.Settings.Name)
+			}
+		}
+	}
+}
+
 // sendToEntries queries the entries, keeps the first one for as long as the
 // response allows, and sends requests to it. None may fail.
 func (b *testbed) sendToEntries(k int, stop chan struct{}, served *atomic.Int64) {
