proctest: the instances' log lines are kept and checked

The log goes to the standard output, of which nothing was kept: a failed run printed no line, and the check for texts that must never occur saw the standard error only.

--- a/internal/proctest/process_test.go
+++ b/internal/proctest/process_test.go
@@ -203,7 +203,7 @@
 // launch starts an instance's process.
 func (s *system) launch(in *instance) {
 	cmd, exited := exec.Command(s.bin+"/cumincoved", "-c", in.file), make(chan struct{})
-	cmd.Stderr = in.log
+	cmd.Stdout, cmd.Stderr = in.log, in.log
 	if err := cmd.Start(); err != nil {
 		s.Fatal(err)
 	}
