--- a/controller/steps/restart_test.go
+++ b/controller/steps/restart_test.go
@@ -16,8 +16,8 @@
 	endedSteps     = 900
 	callsPerSecond = 75
 	// adoptionTime is the time within which open steps are run again after the instance
-	// that ran them is back.
-	adoptionTime = 6 * time.Second
+	// that ran them is back: the recovery without the lapse of a member.
+	adoptionTime = recoveryTime - memberLapse
 )
 
 // putEndedSteps writes the rows of steps of an owner that have ended. All instances have
