--- a/controller/steps/samples.go
+++ b/controller/steps/samples.go
@@ -14,6 +14,9 @@
 	"github.com/cumincove/cumincove/infra"
 )
 
+// sumBytes is the size of a hash in head.Sums.
+const sumBytes = 8
+
 // errCorrupt is returned for samples that are not those that were stored.
 var errCorrupt = errors.New("steps: the samples differ from those that were accepted")
 
@@ -94,10 +97,10 @@
 	if len(r.head.Sums) == 0 {
 		return nil // an earlier version wrote the step
 	}
-	if len(r.sums) < 8 || binary.BigEndian.Uint64(r.sums) != xxhash.Sum64(v.data) {
+	if len(r.sums) < sumBytes || binary.BigEndian.Uint64(r.sums) != xxhash.Sum64(v.data) {
 		return fmt.Errorf("%w: %s", errCorrupt, v.prefix)
 	}
-	r.sums = r.sums[8:]
+	r.sums = r.sums[sumBytes:]
 	return nil
 }
 
--- a/controller/steps/values.go
+++ b/controller/steps/values.go
@@ -47,7 +47,7 @@
 func rowKey(prefix string, n int) string { return prefix + "/" + sortable(n, 2) }
 
 // cutRowKey returns the prefix and the number of a row's key, or false if it is not a
-// row of a value.
+// row of a value. The number may follow the letter of sortable.
 func cutRowKey(key string) (prefix string, n int, ok bool) {
 	i := strings.LastIndexByte(key, '/')
 	if i < 0 {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -90,7 +90,7 @@
 	self                string
 	members             map[string]*member
 	changes             uint64        // increases with each change of a member
-	unvisited           []string      // peers not visited yet in this round
+	unvisited           []string      // peers not visited yet in the rotation of all
 	nextExchange        time.Duration // time of the next periodic exchange
 	rounds              int           // number of periodic exchanges
 	preferred           rotation
@@ -338,11 +338,11 @@
 	return Peer{Name: name, Addr: m.rec.Addr}, true
 }
 
-// nextPeer returns the peer of the next periodic exchange. If the peer is not a
-// preferred one or a neighbour, every peer is visited once before any is
-// visited again. Every downRetryInterval exchanges it also tries a peer that is
-// down. Otherwise the two sides of a network partition would never exchange
-// messages again after each considers the other down.
+// nextPeer returns the peer of the next periodic exchange: in turn a preferred one, a
+// neighbour, or any, each of these lists in a rotation of its own. Every
+// downRetryInterval exchanges any may be a peer that is down. Otherwise the two sides of
+// a network partition would never exchange messages again after each considers the
+// other down.
 func (n *Node) nextPeer() (Peer, bool) {
 	n.rounds++
 	if n.rounds%2 != 0 {
