--- /dev/null
+++ b/review/stage/memory.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// memoryPoll is the time between two looks at a process's memory.
+	memoryPoll = 20 * time.Millisecond
+	// restartDelay is the time until a killed process is started again.
+	restartDelay = time.Second
+)
+
+// residentBytes returns the memory that a process uses, or 0 if it has ended.
+func residentBytes(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	pages, _ := strconv.ParseInt(fields[1], 10, 64) // the kernel writes numbers
+	return pages * int64(os.Getpagesize())
+}
+
+// guardMemory plays the platform's limit on memory: it kills each process that exceeds
+// it, and starts the process again. It returns the highest use of any process so far, and
+// how often each process was killed.
+func (s *stage) guardMemory(stop <-chan struct{}, wg *sync.WaitGroup) (peak *atomic.Int64, kills []atomic.Int64) {
+	peak, kills = new(atomic.Int64), make([]atomic.Int64, len(s.instances))
+	for i, in := range s.instances {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(memoryPoll):
+				}
+				used := residentBytes(in.cmd.Process.Pid)
+				peak.Store(max(peak.Load(), used))
+				if used <= memoryMB<<20 {
+					continue
+				}
+				kills[i].Add(1)
+				s.rec.logf("instance %s uses %d MB of %d, and is killed", in.name, used>>20, memoryMB)
+				s.signal(in, syscall.SIGKILL)
+				_ = in.cmd.Wait() // it was killed
+				time.Sleep(restartDelay)
+				s.run(in)
+			}
+		})
+	}
+	return peak, kills
+}
+
+// largeSteps shows processes that exceed the memory of their machine: one instance runs
+// all batch submissions of a model, and holds the bodies of all their items.
+func largeSteps(s *stage) {
+	const (
+		lots   = 24
+		perLot = 32
+		events = 10
+		work   = 2 * time.Second // of an item at an engine
+		length = 95 * time.Second
+		// Of the rule: a tenth of the machines, but two at least, and three ends of each.
+		minMachines, maxEnds = 2, 3
+		service              = "huvo11a"
+		model                = "daka510000"
+		trainers             = 8
+	)
+	bodyBytes := 600
+	if s.trouble {
+		bodyBytes = 700 << 10
+	}
+	s.putConfig(1, []object{{
+		"name": "r-roll", "hostname": host, "path-prefix": "/pule252/", "route-kind": "rollout",
+		"timeout-ms": 10000, "slo-ms": 500, "run-deadline-ms": 60000, "queue-ttl-s": 90, "priority": 0,
+		"service": service, "max-attempts": 3, "public": false,
+	}}, []object{{
+		"name": service, "health-path": "/healthz", "max-conns": 140, "protocol": "h1", "tls": false,
+		"engine": object{"slots": 8, "kv-capacity": 46180, "models": []object{{"name": model}}},
+	}}, tenants)
+	s.store.put("op", "version/"+model, object{"model": model, "version": 1})
+	for i := range 4 {
+		e := &replica{d: s.deployment, history: s.history, id: fmt.Sprintf("i-e%03d", i), service: service, zone: "zone-a", slots: 8, model: model, version: 1}
+		e.handle = func(q *request) answer {
+			from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+			s.history.add(run{id: q.id, replica: e.id, at: time.Now(), after: from, status: http.StatusOK})
+			time.Sleep(work)
+			header := [][2]string{{"Content-Type", "text/event-stream"}, {"Cumincove-Weight-Versions", "1"}}
+			return answer{status: http.StatusOK, header: header, body: eventsOf(q.id, from, events)}
+		}
+		e.start()
+		e.register()
+	}
+	s.start(3)
+	stop := make(chan struct{})
+	var guards, wg sync.WaitGroup
+	peak, kills := s.guardMemory(stop, &guards)
+	began := time.Now()
+	body := []byte(strings.Repeat("0123456789abcdef", bodyBytes/16))
+	for t := range trainers {
+		wg.Go(func() {
+			c := newClient(s.rec)
+			for n := t; n < lots; n += trainers {
+				lot := fmt.Sprintf("lot%d", n)
+				items := itemsOf(itemIDs(lot, perLot), model)
+				for i := range items {
+					items[i].Body = body
+				}
+				for try := n; time.Since(began) < length; try++ {
+					in := s.instances[try%len(s.instances)]
+					if c.submit(in.callers, "/pule252/"+lot, lot, model, items).status == http.StatusAccepted {
+						break
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+				s.rec.logf("peak %d MB", peak.Load()>>20)
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(time.Until(began.Add(length)))
+	close(stop)
+	guards.Wait()
+	s.rec.logf("highest use of memory: %d MB", peak.Load()>>20)
+	failing := 0
+	for i := range kills {
+		s.rec.logf("instance %s was killed %d times", s.instances[i].name, kills[i].Load())
+		if kills[i].Load() >= maxEnds {
+			failing++
+		}
+	}
+	if failing >= minMachines {
+		s.breakf("Fault: %d machines exceeded their memory %d times or more", failing, maxEnds)
+	}
+}
