--- a/review/stage/copies.go
+++ b/review/stage/copies.go
@@ -20,6 +20,7 @@
 		silence  = 1100 * time.Millisecond // from the new start to its first entry
 		after    = 6 * time.Second
 		restarts = 3
+		others   = 5 // replicas beside the one that restarts
 		budget   = 1500 * time.Millisecond
 	)
 	const service = "huvo11a"
@@ -40,7 +41,9 @@
 	}
 	flaky := newReplica("i-0000", "", "zone-a")
 	flaky.register()
-	newReplica("i-9999", "", "zone-b").register()
+	for n := range others {
+		newReplica(fmt.Sprintf("i-900%d", n), "", "zone-b").register()
+	}
 	s.start(2)
 
 	stop := make(chan struct{})
@@ -131,6 +134,10 @@
 	engine.repeats = func(a answer) bool { return s.trouble && a.status == http.StatusInternalServerError }
 	engine.start()
 	engine.register()
+	// The service's other engine has another model.
+	other := &replica{d: s.deployment, history: s.history, id: "i-e002", service: service, zone: "zone-b", slots: 8, model: "rada7437b5", version: 1, handle: engine.handle}
+	other.start()
+	other.register()
 	s.start(2)
 
 	c := newClient(s.rec)
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -106,24 +106,30 @@
 
 // instance is one process of the daemon.
 type instance struct {
-	name, ip, callers, readiness, file string
+	name, ip, file                     string
+	callers, readiness, entries, peers string
 	cmd                                *exec.Cmd
 	log                                *os.File
 }
 
-// freePort returns a port at which nothing listens now.
-func freePort(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+// freePorts returns n addresses of an IP at which nothing listens now.
+func freePorts(ip string, n int) []string {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		check(err)
+		defer l.Close() // all stay open until the end, so that they differ
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs
 }
 
 // start starts n instances in as many zones, and waits until they are ready.
 func (d *deployment) start(n int) {
 	for i := range n {
 		in := &instance{name: fmt.Sprintf("frontend-zone-%c-1", 'a'+i), ip: d.ips.take()}
-		in.callers, in.readiness = freePort(in.ip), freePort(in.ip)
+		ports := freePorts(in.ip, 4)
+		in.callers, in.readiness, in.entries, in.peers = ports[0], ports[1], ports[2], ports[3]
 		in.file = filepath.Join(d.dir, in.name+".json")
 		check(os.WriteFile(in.file, d.settings(in, i), 0o600))
 		d.instances = append(d.instances, in)
@@ -136,11 +142,10 @@
 
 // settings fills in the template of the deploy file.
 func (d *deployment) settings(in *instance, zone int) []byte {
-	peer := freePort(in.ip)
-	_, peerPort, _ := strings.Cut(peer, ":")
+	_, peerPort, _ := strings.Cut(in.peers, ":")
 	fields := map[string]any{
 		"node-name": in.name, "zone": fmt.Sprintf("zone-%c", 'a'+zone), "ip": in.ip,
-		"listen.front": in.callers, "listen.readiness": in.readiness, "listen.directory": freePort(in.ip),
+		"listen.front": in.callers, "listen.readiness": in.readiness, "listen.directory": in.entries,
 		"port-range.0": peerPort, "platform.addr": d.storeAddr, "cloud-api.addr": d.dutyAddr,
 		"limits.cpu-share": cpuShare, "limits.memory-mb": memoryMB, "bounds.report-window-s": 5,
 	}
--- a/review/stage/memory.go
+++ b/review/stage/memory.go
@@ -60,24 +60,22 @@
 	return peak, kills
 }
 
-// largeSteps shows processes that exceed the memory of their machine: one instance runs
-// all batch submissions of a model, and holds the bodies of all their items.
+// largeSteps shows processes that exceed the memory of their machine again and again: one
+// instance runs all batch submissions of a model, and holds the bodies of all their items.
 func largeSteps(s *stage) {
 	const (
-		lots   = 24
-		perLot = 32
-		events = 10
-		work   = 2 * time.Second // of an item at an engine
-		length = 95 * time.Second
+		lots     = 12 // of each model
+		trainers = 4  // of each model
+		perLot   = 32
+		length   = 85 * time.Second
+		service  = "huvo11a"
 		// Of the rule: a tenth of the machines, but two at least, and three ends of each.
 		minMachines, maxEnds = 2, 3
-		service              = "huvo11a"
-		model                = "daka510000"
-		trainers             = 8
 	)
+	models := []string{"daka510000", "rada7437b5", "ravo486f6a"}
 	bodyBytes := 600
 	if s.trouble {
-		bodyBytes = 700 << 10
+		bodyBytes = 700 << 10 // 30 MB a batch submission
 	}
 	s.putConfig(1, []object{{
 		"name": "r-roll", "hostname": host, "path-prefix": "/pule252/", "route-kind": "rollout",
@@ -85,46 +83,27 @@
 		"service": service, "max-attempts": 3, "public": false,
 	}}, []object{{
 		"name": service, "health-path": "/healthz", "max-conns": 140, "protocol": "h1", "tls": false,
-		"engine": object{"slots": 8, "kv-capacity": 46180, "models": []object{{"name": model}}},
+		"engine": object{"slots": 8, "kv-capacity": 46180},
 	}}, tenants)
-	s.store.put("op", "version/"+model, object{"model": model, "version": 1})
-	for i := range 4 {
-		e := &replica{d: s.deployment, history: s.history, id: fmt.Sprintf("i-e%03d", i), service: service, zone: "zone-a", slots: 8, model: model, version: 1}
-		e.handle = func(q *request) answer {
-			from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
-			s.history.add(run{id: q.id, replica: e.id, at: time.Now(), after: from, status: http.StatusOK})
-			time.Sleep(work)
-			header := [][2]string{{"Content-Type", "text/event-stream"}, {"Cumincove-Weight-Versions", "1"}}
-			return answer{status: http.StatusOK, header: header, body: eventsOf(q.id, from, events)}
-		}
-		e.start()
-		e.register()
+	for i, model := range models {
+		s.store.put("op", "version/"+model, object{"model": model, "version": 1})
+		s.startSlowEngine(fmt.Sprintf("i-e%03d", i), service, model)
 	}
 	s.start(3)
+	began := time.Now()
 	stop := make(chan struct{})
 	var guards, wg sync.WaitGroup
 	peak, kills := s.guardMemory(stop, &guards)
-	began := time.Now()
 	body := []byte(strings.Repeat("0123456789abcdef", bodyBytes/16))
-	for t := range trainers {
-		wg.Go(func() {
-			c := newClient(s.rec)
-			for n := t; n < lots; n += trainers {
-				lot := fmt.Sprintf("lot%d", n)
-				items := itemsOf(itemIDs(lot, perLot), model)
-				for i := range items {
-					items[i].Body = body
-				}
-				for try := n; time.Since(began) < length; try++ {
-					in := s.instances[try%len(s.instances)]
-					if c.submit(in.callers, "/pule252/"+lot, lot, model, items).status == http.StatusAccepted {
-						break
-					}
-					time.Sleep(300 * time.Millisecond)
+	for m, model := range models {
+		for t := range trainers {
+			wg.Go(func() {
+				for n := t; n < lots; n += trainers {
+					lot := fmt.Sprintf("lot-%d-%d", m, n)
+					s.submitUntil(began.Add(length), lot, model, n, itemsWithBody(itemIDs(lot, perLot), model, body))
 				}
-				s.rec.logf("peak %d MB", peak.Load()>>20)
-			}
-		})
+			})
+		}
 	}
 	wg.Wait()
 	time.Sleep(time.Until(began.Add(length)))
@@ -142,3 +121,43 @@
 		s.breakf("Fault: %d machines exceeded their memory %d times or more", failing, maxEnds)
 	}
 }
+
+// startSlowEngine starts an engine that takes two seconds for an item.
+func (s *stage) startSlowEngine(id, service, model string) {
+	const (
+		events = 10
+		work   = 2 * time.Second
+	)
+	e := &replica{d: s.deployment, history: s.history, id: id, service: service, zone: "zone-a", slots: 8, model: model, version: 1}
+	e.handle = func(q *request) answer {
+		from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // 0 without it
+		s.history.add(run{id: q.id, replica: e.id, at: time.Now(), after: from, status: http.StatusOK})
+		time.Sleep(work)
+		header := [][2]string{{"Content-Type", "text/event-stream"}, {"Cumincove-Weight-Versions", "1"}}
+		return answer{status: http.StatusOK, header: header, body: eventsOf(q.id, from, events)}
+	}
+	e.start()
+	e.register()
+}
+
+func itemsWithBody(ids []string, model string, body []byte) []item {
+	items := itemsOf(ids, model)
+	for i := range items {
+		items[i].Body = body
+	}
+	return items
+}
+
+// submitUntil submits a batch submission, at one instance after the other, until it is
+// accepted or the time is over.
+func (s *stage) submitUntil(end time.Time, lot, model string, first int, items []item) {
+	const pause = 300 * time.Millisecond
+	c := newClient(s.rec)
+	for try := first; time.Now().Before(end); try++ {
+		in := s.instances[try%len(s.instances)]
+		if c.submit(in.callers, "/pule252/"+lot, lot, model, items).status == http.StatusAccepted {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
