--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -38,9 +38,14 @@
 
 // send sends one client attempt.
 func (c *client) send(method, addr, path, id string, wait time.Duration, body []byte) reply {
+	return c.sendWith(http.Header{}, method, addr, path, id, wait, body)
+}
+
+// sendWith sends one client attempt with further headers.
+func (c *client) sendWith(h http.Header, method, addr, path, id string, wait time.Duration, body []byte) reply {
 	r, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
 	check(err)
-	r.Host = host
+	r.Host, r.Header = host, h
 	r.Header.Set("Authorization", "Bearer "+key)
 	if id != "" {
 		r.Header.Set("Cumincove-Attempt-Id", id)
@@ -81,16 +86,21 @@
 	Results []result `json:"results"`
 }
 
-// submit submits a batch submission and returns the answer.
-func (c *client) submit(addr, path, id, model string, items []item) reply {
+// submission returns the body of a batch submission.
+func submission(model string, items []item) []byte {
 	body, err := json.Marshal(object{"step": 0, "model": model, "min-version": 1, "desired": 1, "requests": items})
 	check(err)
+	return body
+}
+
+// submit submits a batch submission and returns the answer.
+func (c *client) submit(addr, path, id string, body []byte) reply {
 	return c.send(http.MethodPost, addr, path, id, 12*time.Second, body)
 }
 
 // results reads results from a position on.
 func (c *client) results(addr, id string, after int) (results, bool) {
-	rep := c.send(http.MethodGet, addr, fmt.Sprintf("/lots/%s?after=%d", id, after), "", 3*time.Second, nil)
+	rep := c.sendWith(http.Header{"Cumincove-Wait-Ms": {"1000"}}, http.MethodGet, addr, fmt.Sprintf("/lots/%s?after=%d", id, after), "", 3*time.Second, nil)
 	var list results
 	ok := rep.status == http.StatusOK && json.Unmarshal(rep.body, &list) == nil
 	return list, ok
--- a/review/stage/copies.go
+++ b/review/stage/copies.go
@@ -147,7 +147,7 @@
 			fmt.Sprintf("lot%d-sound", n):   itemIDs(fmt.Sprintf("sound%d", n), sound),
 			fmt.Sprintf("lot%d-failing", n): itemIDs(fmt.Sprintf("%s%d", failingItem, n), 1),
 		} {
-			rep := c.submit(in.callers, "/pule252/"+lot, lot, model, itemsOf(ids, model))
+			rep := c.submit(in.callers, "/pule252/"+lot, lot, submission(model, itemsOf(ids, model)))
 			if rep.status != http.StatusAccepted {
 				check(fmt.Errorf("%s: not accepted: %d", lot, rep.status))
 			}
--- a/review/stage/deployment.go
+++ b/review/stage/deployment.go
@@ -12,6 +12,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -109,6 +110,7 @@
 	name, ip, file                     string
 	callers, readiness, entries, peers string
 	cmd                                *exec.Cmd
+	pid                                atomic.Int64
 	log                                *os.File
 }
 
@@ -172,6 +174,7 @@
 	in.cmd.Stdout, in.cmd.Stderr = in.log, in.log
 	in.cmd.Env = []string{"CUMINCOVE_NODE_FILE=" + in.file, "PATH=" + os.Getenv("PATH"), "HOME=" + d.dir}
 	check(in.cmd.Start())
+	in.pid.Store(int64(in.cmd.Process.Pid))
 	d.rec.logf("instance %s started, callers at %s", in.name, in.callers)
 }
 
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -31,9 +31,10 @@
 
 // cases are the cases by the number of their folder.
 var cases = map[string]func(s *stage){
-	"14": misdirectedCopy,
+	"14": endedSteps,
 	"15": failureCopy,
 	"16": largeSteps,
+	"17": misdirectedCopy,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stage/memory.go
+++ b/review/stage/memory.go
@@ -19,9 +19,9 @@
 	restartDelay = time.Second
 )
 
-// residentBytes returns the memory that a process uses, or 0 if it has ended.
-func residentBytes(pid int) int64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+// residentBytes returns the memory that an instance's process uses, or 0 if it has ended.
+func residentBytes(in *instance) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", in.pid.Load()))
 	if err != nil {
 		return 0
 	}
@@ -30,6 +30,24 @@
 	return pages * int64(os.Getpagesize())
 }
 
+// watchMemory returns the highest use of memory of any process, as it is known so far.
+func (s *stage) watchMemory(stop <-chan struct{}) *atomic.Int64 {
+	peak := new(atomic.Int64)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(memoryPoll):
+			}
+			for _, in := range s.instances {
+				peak.Store(max(peak.Load(), residentBytes(in)))
+			}
+		}
+	}()
+	return peak
+}
+
 // guardMemory plays the platform's limit on memory: it kills each process that exceeds
 // it, and starts the process again. It returns the highest use of any process so far, and
 // how often each process was killed.
@@ -43,7 +61,7 @@
 					return
 				case <-time.After(memoryPoll):
 				}
-				used := residentBytes(in.cmd.Process.Pid)
+				used := residentBytes(in)
 				peak.Store(max(peak.Load(), used))
 				if used <= memoryMB<<20 {
 					continue
@@ -64,10 +82,10 @@
 // instance runs all batch submissions of a model, and holds the bodies of all their items.
 func largeSteps(s *stage) {
 	const (
-		lots     = 12 // of each model
+		lots     = 16 // of each model
 		trainers = 4  // of each model
 		perLot   = 32
-		length   = 85 * time.Second
+		length   = 95 * time.Second
 		service  = "huvo11a"
 		// Of the rule: a tenth of the machines, but two at least, and three ends of each.
 		minMachines, maxEnds = 2, 3
@@ -75,7 +93,7 @@
 	models := []string{"daka510000", "rada7437b5", "ravo486f6a"}
 	bodyBytes := 600
 	if s.trouble {
-		bodyBytes = 700 << 10 // 30 MB a batch submission
+		bodyBytes = 740 << 10 // 32.4 MB a batch submission
 	}
 	s.putConfig(1, []object{{
 		"name": "r-roll", "hostname": host, "path-prefix": "/pule252/", "route-kind": "rollout",
@@ -91,7 +109,7 @@
 	}
 	s.start(3)
 	began := time.Now()
-	stop := make(chan struct{})
+	stop, over := make(chan struct{}), make(chan struct{})
 	var guards, wg sync.WaitGroup
 	peak, kills := s.guardMemory(stop, &guards)
 	body := []byte(strings.Repeat("0123456789abcdef", bodyBytes/16))
@@ -100,28 +118,38 @@
 			wg.Go(func() {
 				for n := t; n < lots; n += trainers {
 					lot := fmt.Sprintf("lot-%d-%d", m, n)
-					s.submitUntil(began.Add(length), lot, model, n, itemsWithBody(itemIDs(lot, perLot), model, body))
+					s.submitUntil(over, lot, model, n, itemsWithBody(itemIDs(lot, perLot), model, body))
 				}
 			})
 		}
 	}
+	for time.Since(began) < length && failing(kills, maxEnds) < minMachines {
+		time.Sleep(memoryPoll)
+	}
+	close(over)
 	wg.Wait()
-	time.Sleep(time.Until(began.Add(length)))
 	close(stop)
 	guards.Wait()
 	s.rec.logf("highest use of memory: %d MB", peak.Load()>>20)
-	failing := 0
 	for i := range kills {
 		s.rec.logf("instance %s was killed %d times", s.instances[i].name, kills[i].Load())
-		if kills[i].Load() >= maxEnds {
-			failing++
-		}
 	}
-	if failing >= minMachines {
-		s.breakf("Fault: %d machines exceeded their memory %d times or more", failing, maxEnds)
+	if n := failing(kills, maxEnds); n >= minMachines {
+		s.breakf("Fault: %d machines exceeded their memory %d times or more", n, maxEnds)
 	}
 }
 
+// failing counts the machines whose process was killed as often as given, or more.
+func failing(kills []atomic.Int64, ends int64) int {
+	n := 0
+	for i := range kills {
+		if kills[i].Load() >= ends {
+			n++
+		}
+	}
+	return n
+}
+
 // startSlowEngine starts an engine that takes two seconds for an item.
 func (s *stage) startSlowEngine(id, service, model string) {
 	const (
@@ -149,15 +177,20 @@
 }
 
 // submitUntil submits a batch submission, at one instance after the other, until it is
-// accepted or the time is over.
-func (s *stage) submitUntil(end time.Time, lot, model string, first int, items []item) {
+// accepted or the case is over.
+func (s *stage) submitUntil(over <-chan struct{}, lot, model string, first int, items []item) {
 	const pause = 300 * time.Millisecond
 	c := newClient(s.rec)
-	for try := first; time.Now().Before(end); try++ {
+	body := submission(model, items)
+	for try := first; ; try++ {
+		select {
+		case <-over:
+			return
+		case <-time.After(pause):
+		}
 		in := s.instances[try%len(s.instances)]
-		if c.submit(in.callers, "/pule252/"+lot, lot, model, items).status == http.StatusAccepted {
+		if c.submit(in.callers, "/pule252/"+lot, lot, body).status == http.StatusAccepted {
 			return
 		}
-		time.Sleep(pause)
 	}
 }
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -16,9 +16,10 @@
 	// time that a transaction takes besides.
 	storeDelay       = 4 * time.Millisecond
 	transactionDelay = 5 * time.Millisecond
-	// maxRows and maxParts bound one answer.
+	// maxRows, maxParts and maxBytes, of values, bound one answer.
 	maxRows  = 500
 	maxParts = 1000
+	maxBytes = 1 << 20
 )
 
 // rowID names a row of the store.
@@ -161,8 +162,19 @@
 	version := s.version
 	s.mu.Unlock()
 	slices.SortFunc(list, func(a, b row) int { return compareText(a.Key, b.Key) })
-	more := len(list) > limit
-	s.answer(w, http.StatusOK, storeAnswer{Rows: list[:min(limit, len(list))], More: more, Version: version})
+	n := fitting(list[:min(limit, len(list))])
+	s.answer(w, http.StatusOK, storeAnswer{Rows: list[:n], More: n < len(list), Version: version})
+}
+
+// fitting returns the number of leading rows that fit into one answer, at least one.
+func fitting(list []row) int {
+	size := 0
+	for n, r := range list {
+		if size += len(r.Value); n > 0 && size > maxBytes {
+			return n
+		}
+	}
+	return len(list)
 }
 
 func (s *store) serveParts(w http.ResponseWriter, r *http.Request) {
