--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // Exit codes of a case.
@@ -39,11 +38,11 @@
 
 func main() { os.Exit(play()) }
 
-// play plays the case that the arguments name: its number, and the folder for its
-// record.
+// play plays the case that the arguments name: its number, and the path of its
+// record.txt, which it writes.
 func play() (code int) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stage NUMBER FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stage NUMBER RECORD")
 		return exitNotRun
 	}
 	defer func() {
@@ -57,7 +56,7 @@
 			code = exitNotRun
 		}
 	}()
-	rec := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec := newRecord(os.Args[2])
 	defer rec.file.Close()
 	d := newDeployment(rec)
 	defer d.stop()
