Attempt: a connection carries no request ID twice

Cause: answers are matched by the ID that endpoints echo, and a sample's second run goes out with the ID of the first, on the connection that was used last. A late second copy of the first run's 500 counted as the answer to the second run. Call.NewConnection, which each caller had to set, was set by one of three, and says nothing of the same ID in another sample, scoring call or request.

The pool now remembers the IDs that a connection has carried and never lends it to one of them again, so no caller can forget. Remembering the last ID is not enough: a copy may come two answers late.

--- a/attempt/call.go
+++ b/attempt/call.go
@@ -49,7 +49,8 @@
 	// Header is sent without filtering; create it with RequestHeader.
 	Header http.Header
 	Body   []byte
-	// ID is the request's ID. A response that echoes another ID is rejected.
+	// ID is the request's ID, which may be sent more than once. A response that echoes
+	// another ID is rejected.
 	ID string
 	// RequireID rejects responses without an ID. If it is not set, a response
 	// without an ID is rejected only if the endpoint has sent an ID before.
@@ -57,8 +58,8 @@
 	// Stream is set if the response is a stream of engine.Chunk lines, which is
 	// complete only if its last line has Done set.
 	Stream bool
-	// NewConnection requires a new connection. It must be set for all attempts
-	// of a request after the first one.
+	// NewConnection requires a new connection. It is for attempts after one that failed,
+	// because idle connections may be broken without a sign of it.
 	NewConnection bool
 	// AtMostOnce marks a request that must not run twice.
 	AtMostOnce bool
@@ -83,7 +84,7 @@
 	if call.AtMostOnce {
 		maxIdle = p.opt.MaxIdleTimeAtMostOnce
 	}
-	c, err := p.get(ctx, call.Addr, call.NewConnection, maxIdle)
+	c, err := p.get(ctx, call, maxIdle)
 	if err != nil {
 		return nil, fail(ctx, code.EndpointRefused, err)
 	}
@@ -91,6 +92,7 @@
 		p.put(c)
 		return nil, err
 	}
+	c.carried.add(p.hash(call.ID))
 	p.ReportSend(call.Endpoint, call.Kind)
 	r := &Response{pool: p, dialect: p.opt.Dialect, conn: c, call: call, ctx: ctx, handedOff: p.opt.Clock.Now(), ownsConn: true}
 	r.silence.keepWaiting, r.silence.expired = call.KeepWaiting, r.timeOut
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"slices"
@@ -54,6 +55,7 @@
 	opt   Options
 	tr    *http.Transport
 	hosts sync.Map // address to *host
+	seed  maphash.Seed
 	// leavingFunc is called with the name of an endpoint that is about to leave.
 	leavingFunc func(endpoint string)
 	// rateLimitFunc is called for each answer of an endpoint, and sendFunc for
@@ -75,11 +77,13 @@
 	evictedFromPool bool    // removed from Pool.hosts, or about to be
 }
 
-// conn is one connection, used by one request at a time.
+// conn is one connection, used by one request at a time. It carries no ID twice, so that a
+// copy of an earlier answer can be told from the answer that is expected.
 type conn struct {
-	cc   *http.ClientConn
-	raw  *meteredConn
-	host *host
+	cc      *http.ClientConn
+	raw     *meteredConn
+	host    *host
+	carried carriedIDs
 	// lastUsed is the time of the end of the last use.
 	lastUsed time.Duration
 }
@@ -89,7 +93,7 @@
 	if opt.Dialect == (Dialect{}) {
 		opt.Dialect = DefaultDialect()
 	}
-	p := &Pool{opt: opt}
+	p := &Pool{opt: opt, seed: maphash.MakeSeed()}
 	p.tr = outbound.Transport(p.dialMetered)
 	p.tr.MaxResponseHeaderBytes = maxHeadBytes
 	return p
@@ -152,19 +156,19 @@
 // Dialect returns the dialect of the endpoints.
 func (p *Pool) Dialect() Dialect { return p.opt.Dialect }
 
-// get returns a connection: an idle one that was used within maxIdle if there
-// is one and newConnection is not set, and a new one otherwise.
-func (p *Pool) get(ctx context.Context, addr string, newConnection bool, maxIdle time.Duration) (*conn, error) {
-	h := p.retain(addr)
-	if !newConnection {
-		if c := h.takeIdle(p.opt.Clock.Now() - maxIdle); c != nil {
+// get returns a connection that has not carried the call's ID: an idle one that was used
+// within maxIdle if there is one and Call.NewConnection is not set, and a new one otherwise.
+func (p *Pool) get(ctx context.Context, call *Call, maxIdle time.Duration) (*conn, error) {
+	h := p.retain(call.Addr)
+	if !call.NewConnection {
+		if c := h.takeIdle(p.opt.Clock.Now()-maxIdle, p.hash(call.ID)); c != nil {
 			return c, nil
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.opt.ConnectTimeout)
 	defer cancel()
 	var raw *meteredConn
-	cc, err := p.tr.NewClientConn(context.WithValue(ctx, meteredKey{}, &raw), "http", addr)
+	cc, err := p.tr.NewClientConn(context.WithValue(ctx, meteredKey{}, &raw), "http", call.Addr)
 	if err != nil {
 		h.release()
 		return nil, err
@@ -233,19 +237,17 @@
 	return h.(*host)
 }
 
-// takeIdle removes and returns the most recently used idle connection. It returns
-// nil if there is none that was used since oldest.
-func (h *host) takeIdle(oldest time.Duration) *conn {
+// takeIdle removes and returns the most recently used idle connection that has not carried
+// an ID. It returns nil if there is none that was used since oldest.
+func (h *host) takeIdle(oldest time.Duration, id idHash) *conn {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for len(h.idle) > 0 {
-		last := len(h.idle) - 1
-		c := h.idle[last]
-		if c.lastUsed < oldest {
-			return nil
+	for n := len(h.idle) - 1; n >= 0 && h.idle[n].lastUsed >= oldest; n-- {
+		c := h.idle[n]
+		if c.carried.contains(id) {
+			continue
 		}
-		h.idle[last] = nil
-		h.idle = h.idle[:last]
+		h.idle = slices.Delete(h.idle, n, n+1)
 		if c.canCarryRequest() {
 			return c
 		}
@@ -271,11 +273,11 @@
 	}
 }
 
-// canCarryRequest reports whether the connection can carry a request now. After
+// canCarryRequest reports whether the connection can carry another request now. After
 // the last byte of a response the transport may be about to close the
 // connection, which then has no error yet, but is not available either.
 func (c *conn) canCarryRequest() bool {
-	return c.cc.Available() > 0
+	return !c.carried.full() && c.cc.Available() > 0
 }
 
 // discard closes a connection that was in use.
