Attempt: a connection ends with an answer that bears no ID

Cause: a 421 need not echo the request's ID, as it comes from an endpoint that the request was not meant for, and its connection was used again. A late second copy of it was read as the answer to the next request, which therefore counted as not run.

A connection is used again only after an answer that bore its request's ID, so each copy that may still come on it can be told from the answer that is expected. This covers plain services that echo nothing, too: they get a connection for each request. Comparing the endpoint that a 421 names was weighed: it leaves a 421 that names none.

--- a/attempt/answer.go
+++ b/attempt/answer.go
@@ -32,6 +32,9 @@
 	// timedOut is set when the timer has fired.
 	timedOut atomic.Bool
 	resp     *http.Response
+	// bearsID is set if the response bears the request's ID. A copy of any other response
+	// could not be told from the answer to the next request on the connection.
+	bearsID bool
 	// buffered is the unread rest of a body that was received before any Read.
 	buffered []byte
 	last     lastLine
@@ -168,13 +171,14 @@
 	return fail(r.ctx, lost, err)
 }
 
-// finish returns the connection to the pool after a complete response.
+// finish returns the connection to the pool after a complete response, if it can be used
+// again.
 func (r *Response) finish() {
 	r.done = true
 	r.releaseConn()
 	timerFired := !r.silence.stop()
 	_ = r.resp.Body.Close()
-	if r.resp.Close || timerFired {
+	if r.resp.Close || timerFired || !r.bearsID {
 		r.conn.discard()
 		return
 	}
--- a/attempt/call.go
+++ b/attempt/call.go
@@ -172,6 +172,7 @@
 		return code.Wrap(code.AnswerInvalid, err, "endpoint %s: %v", r.call.Addr, err)
 	}
 	if id != "" {
+		r.bearsID = true
 		r.conn.host.echoesID.Store(true)
 	}
 	if err := r.checkContent(dialect); err != nil {
--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -77,8 +77,9 @@
 	evictedFromPool bool    // removed from Pool.hosts, or about to be
 }
 
-// conn is one connection, used by one request at a time. It carries no ID twice, so that a
-// copy of an earlier answer can be told from the answer that is expected.
+// conn is one connection, used by one request at a time. It is used again only while every
+// answer that may still arrive on it can be told from the one that is expected: its last
+// answer bore its request's ID, and it carries no ID twice.
 type conn struct {
 	cc      *http.ClientConn
 	raw     *meteredConn
@@ -256,8 +257,8 @@
 	return nil
 }
 
-// put returns a connection to the pool, after a complete response or if it was
-// not used.
+// put returns a connection to the pool, after a complete response that bore its request's
+// ID, or if it was not used.
 func (p *Pool) put(c *conn) {
 	c.lastUsed = p.opt.Clock.Now()
 	h := c.host
