Engine client: each call that is no stream has an ID of its own

A late copy of the answer to one counted as the answer to the next, e.g. of an accepted order for the one that was refused.

What a call is about stands in its body already, so its X-Request-Id is new each time, given in one place. Load reports are polled through the same client, which compares the ID. Responses other than KV caches are read up to 1 MB, as load reports were. Engines echo X-Request-Id in every response already (package engine).

The request and response of the bench of load reports have the header now (52 bytes each way).

--- a/controller/load/load.go
+++ b/controller/load/load.go
@@ -5,11 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -27,14 +23,12 @@
 type Options struct {
 	Views  *view.Store
 	Clock  clock.Clock
-	Client *http.Client
+	Engine *engine.Client
 	// Self is this instance's name, DataCentre its data centre.
 	Self       string
 	DataCentre string
-	// Poll is the nominal period between two reports of an engine, and Timeout
-	// bounds the request for one.
-	Poll    time.Duration
-	Timeout time.Duration
+	// Poll is the nominal period between two reports of an engine.
+	Poll time.Duration
 }
 
 // Controller polls the engines, and forwards their reports in the exchanges
@@ -96,7 +90,7 @@
 func (c *Controller) poll(ctx context.Context, e *view.Endpoint) {
 	at := c.o.Clock.Now()
 	own := int(e.Stats.InFlight.Load())
-	l, err := c.read(ctx, e.Addr)
+	l, err := c.o.Engine.Load(ctx, e.Addr)
 	if err != nil {
 		return
 	}
@@ -121,28 +115,3 @@
 	}
 	return reports
 }
-
-// maxReportBytes is the maximum size of a report.
-const maxReportBytes = 1 << 20
-
-func (c *Controller) read(ctx context.Context, addr string) (engine.Load, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/load", nil)
-	if err != nil {
-		return engine.Load{}, err
-	}
-	resp, err := c.o.Client.Do(req)
-	if err != nil {
-		return engine.Load{}, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return engine.Load{}, fmt.Errorf("load report: status %d", resp.StatusCode)
-	}
-	var l engine.Load
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&l); err != nil {
-		return engine.Load{}, fmt.Errorf("decode load report: %w", err)
-	}
-	return l, nil
-}
--- a/controller/load/load_test.go
+++ b/controller/load/load_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/config"
+	"github.com/cumincove/cumincove/engine"
 	"github.com/cumincove/cumincove/internal/pb/gossipv1"
 	"github.com/cumincove/cumincove/label"
 	"github.com/cumincove/cumincove/view"
@@ -34,10 +35,10 @@
 
 func (dc *testDataCentre) Now() time.Duration { return dc.now }
 
-func (dc *testDataCentre) RoundTrip(*http.Request) (*http.Response, error) {
+func (dc *testDataCentre) RoundTrip(r *http.Request) (*http.Response, error) {
 	dc.polls.Add(1)
 	body := fmt.Sprintf(`{"running":%d,"max_running":8,"role":"decode"}`, dc.now.Milliseconds())
-	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, nil
+	return &http.Response{StatusCode: http.StatusOK, Header: r.Header, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 func newTestDataCentre(t *testing.T, seed uint64) *testDataCentre {
@@ -64,8 +65,8 @@
 		views := view.NewStore()
 		views.Update(func(v *view.View) { v.SetConfig(state); v.Members = members })
 		dc.alive = append(dc.alive, New(Options{
-			Views: views, Clock: dc, Client: &http.Client{Transport: dc},
-			Self: fmt.Sprint(i), DataCentre: "dc", Poll: time.Second, Timeout: time.Second,
+			Views: views, Clock: dc, Engine: &engine.Client{HTTP: &http.Client{Transport: dc}, CallTimeout: time.Second},
+			Self: fmt.Sprint(i), DataCentre: "dc", Poll: time.Second,
 		}))
 	}
 	return dc
--- a/controller/membership/loads_test.go
+++ b/controller/membership/loads_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cumincove/cumincove/config"
 	"github.com/cumincove/cumincove/controller/load"
+	"github.com/cumincove/cumincove/engine"
 	"github.com/cumincove/cumincove/label"
 	"github.com/cumincove/cumincove/view"
 )
@@ -20,8 +21,9 @@
 	benchEngines = 3 // per instance
 	benchPoll    = time.Second
 	// The request and the response headers of a load report, as sent over TCP.
-	benchLoadRequest  = "GET /v1/load HTTP/1.1\r\nHost: 10.0.0.1:8000\r\nUser-Agent: Go-http-client/1.1\r\n\r\n"
-	benchLoadResponse = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Fri, 04 Dec 2026 00:00:00 GMT\r\nContent-Length: 98\r\n\r\n"
+	benchLoadRequest  = "GET /v1/load HTTP/1.1\r\nHost: 10.0.0.1:8000\r\nUser-Agent: Go-http-client/1.1\r\n" + benchLoadID + "\r\n"
+	benchLoadResponse = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nDate: Fri, 04 Dec 2026 00:00:00 GMT\r\nContent-Length: 98\r\n" + benchLoadID + "\r\n"
+	benchLoadID       = "X-Request-Id: 7d444840-9dc0-11d1-b245-5ffdce74fad2\r\n"
 )
 
 // Now implements clock.Clock, so that the bench is the clock of its instances.
@@ -34,13 +36,13 @@
 	parts *benchParts
 }
 
-func (e engines) RoundTrip(*http.Request) (*http.Response, error) {
+func (e engines) RoundTrip(r *http.Request) (*http.Response, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	const body = `{"running":23,"waiting":4,"max_running":64,"weight_version":812,"loading":false,"draining":false}`
 	e.parts.loadRequests += len(benchLoadRequest)
 	e.parts.loadResponses += len(benchLoadResponse) + len(body)
-	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, nil
+	return &http.Response{StatusCode: http.StatusOK, Header: r.Header, Body: io.NopCloser(strings.NewReader(body))}, nil
 }
 
 // dataCentres returns the number of data centres for n instances.
@@ -77,7 +79,8 @@
 		d.views.Update(func(v *view.View) { v.SetConfig(s); v.Members = members })
 		d.loads = load.New(load.Options{
 			Self: d.node.Self().Name, DataCentre: fmt.Sprintf("dc-%d", i%dataCentres(n)),
-			Views: d.views, Clock: b, Client: &http.Client{Transport: engines{&sync.Mutex{}, &d.parts}}, Poll: benchPoll, Timeout: benchPoll,
+			Views: d.views, Clock: b, Poll: benchPoll,
+			Engine: &engine.Client{HTTP: &http.Client{Transport: engines{&sync.Mutex{}, &d.parts}}, CallTimeout: benchPoll},
 		})
 		b.at(time.Duration(b.rnd.Int64N(int64(benchPoll/2))), func() { b.syncLoad(d) })
 	}
--- a/controller/rollout/move.go
+++ b/controller/rollout/move.go
@@ -31,7 +31,7 @@
 	if err != nil || !kvMatches(kv, a.Request, t.version) {
 		return ""
 	}
-	if err := w.c.o.Engine.ImportKV(ctx, t.addr, w.requestID(a.Run), kv); err != nil {
+	if err := w.c.o.Engine.ImportKV(ctx, t.addr, kv); err != nil {
 		w.c.o.Log.Debug("KV cache not imported", "request", id, "error", err)
 		return ""
 	}
--- a/controller/rollout/outage_test.go
+++ b/controller/rollout/outage_test.go
@@ -97,7 +97,7 @@
 		},
 		MaxBufferedBytes: DefaultMaxBufferedBytes, BatchSamples: DefaultBatchSamples, Linger: DefaultLinger, Grace: DefaultGrace,
 	})
-	reports := load.New(load.Options{Views: views, Clock: boot, Client: client, Poll: time.Second, Timeout: time.Second})
+	reports := load.New(load.Options{Views: views, Clock: boot, Engine: engineClient, Poll: time.Second})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
 	go func() { _ = c.Run(ctx); done <- struct{}{} }()
--- a/controller/rollout/tcp_test.go
+++ b/controller/rollout/tcp_test.go
@@ -202,7 +202,7 @@
 	addr := r.objects[0].Addr
 	client := &engine.Client{HTTP: r.http, CallTimeout: time.Second}
 	running := func() int {
-		l, err := client.Load(r.ctx, addr, "test")
+		l, err := client.Load(r.ctx, addr)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/controller/weights/controller_test.go
+++ b/controller/weights/controller_test.go
@@ -78,7 +78,7 @@
 		Scope: tally.NoopScope, Poll: 250 * time.Millisecond,
 	})
 	reports := load.New(load.Options{
-		Views: views, Clock: c, Client: h.client.HTTP, Poll: time.Second, Timeout: 2 * time.Second,
+		Views: views, Clock: c, Engine: h.client, Poll: time.Second,
 	})
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = ctl.Run(ctx) })
--- a/controller/weights/worker.go
+++ b/controller/weights/worker.go
@@ -12,7 +12,6 @@
 	"github.com/cumincove/cumincove/lease"
 	"github.com/cumincove/cumincove/view"
 	"github.com/cumincove/cumincove/weights"
-	"github.com/google/uuid"
 )
 
 const (
@@ -192,7 +191,7 @@
 			at := w.o.Clock.Now()
 			ctx, cancel := context.WithTimeout(ctx, w.o.Poll)
 			defer cancel()
-			l, err := w.o.Engine.Load(ctx, e.Addr, uuid.NewString())
+			l, err := w.o.Engine.Load(ctx, e.Addr)
 			if err != nil {
 				return
 			}
--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/infra"
+	"github.com/google/uuid"
 )
 
 var (
@@ -27,9 +28,12 @@
 	ErrChunkTimeout = errors.New("engine: no chunk within the timeout")
 )
 
-// maxResponseBytes bounds a response that is not a stream, in bytes. It is large
-// enough for an exported KV cache.
-const maxResponseBytes = 256 << 20
+// maxResponseBytes bounds a response that is not a stream, and maxKVBytes that with a KV
+// cache, in bytes.
+const (
+	maxResponseBytes = 1 << 20
+	maxKVBytes       = 256 << 20
+)
 
 // Client is a client of the engines' protocol. With connections of type
 // *lease.Conn, the guard of a call's context (see infra.WithGuard) is checked at
@@ -101,45 +105,52 @@
 }
 
 // Cancel stops a request.
-func (c *Client) Cancel(ctx context.Context, addr, id string) error {
-	return c.call(ctx, http.MethodPost, addr, "/v1/cancel", id, CancelRequest{RequestID: id}, nil)
+func (c *Client) Cancel(ctx context.Context, addr, requestID string) error {
+	return c.call(ctx, http.MethodPost, addr, "/v1/cancel", CancelRequest{RequestID: requestID}, nil)
 }
 
 // Order sends an order. It returns infra.ErrStaleEpoch when the engine has
 // received a higher fencing token. After any other error except ErrNotRun, the
 // order may have been carried out.
 func (c *Client) Order(ctx context.Context, addr string, o Order) error {
-	return c.call(ctx, http.MethodPost, addr, "/v1/orders", o.ID, o, nil)
+	return c.call(ctx, http.MethodPost, addr, "/v1/orders", o, nil)
 }
 
 // Load returns the engine's report of its load.
-func (c *Client) Load(ctx context.Context, addr, id string) (Load, error) {
+func (c *Client) Load(ctx context.Context, addr string) (Load, error) {
 	var l Load
-	err := c.call(ctx, http.MethodGet, addr, "/v1/load", id, nil, &l)
+	err := c.call(ctx, http.MethodGet, addr, "/v1/load", nil, &l)
 	return l, err
 }
 
 // ExportKV returns the KV cache of a request.
-func (c *Client) ExportKV(ctx context.Context, addr, id string) (KV, error) {
+func (c *Client) ExportKV(ctx context.Context, addr, requestID string) (KV, error) {
 	var kv KV
-	err := c.call(ctx, http.MethodPost, addr, "/v1/kv/export", id, KVRequest{RequestID: id}, &kv)
+	err := c.callUpTo(ctx, maxKVBytes, http.MethodPost, addr, "/v1/kv/export", KVRequest{RequestID: requestID}, &kv)
 	return kv, err
 }
 
 // ImportKV sends a KV cache to an engine. Requests refer to it by its handle.
-func (c *Client) ImportKV(ctx context.Context, addr, id string, kv KV) error {
-	return c.call(ctx, http.MethodPost, addr, "/v1/kv/import", id, kv, nil)
+func (c *Client) ImportKV(ctx context.Context, addr string, kv KV) error {
+	return c.call(ctx, http.MethodPost, addr, "/v1/kv/import", kv, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, addr, path string, in, out any) error {
+	return c.callUpTo(ctx, maxResponseBytes, method, addr, path, in, out)
 }
 
-func (c *Client) call(ctx context.Context, method, addr, path, id string, in, out any) error {
+// callUpTo makes a call that is no stream and reads up to limit bytes of its response. Its
+// ID is new, whatever the call is about, so that no answer to an earlier call can be taken
+// for its own.
+func (c *Client) callUpTo(ctx context.Context, limit int64, method, addr, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.CallTimeout)
 	defer cancel()
-	resp, err := c.send(ctx, method, addr, path, id, in)
+	resp, err := c.send(ctx, method, addr, path, uuid.NewString(), in)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	body := io.LimitReader(resp.Body, maxResponseBytes)
+	body := io.LimitReader(resp.Body, limit)
 	if out == nil {
 		_, err = io.Copy(io.Discard, body)
 		return err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/cumincove/cumincove/controller/suspects"
 	"github.com/cumincove/cumincove/controller/teamusage"
 	"github.com/cumincove/cumincove/dispatch"
+	"github.com/cumincove/cumincove/engine"
 	"github.com/cumincove/cumincove/fairqueue"
 	"github.com/cumincove/cumincove/filter"
 	"github.com/cumincove/cumincove/infra"
@@ -179,11 +180,10 @@
 	d.load = load.New(load.Options{
 		Views:      d.views,
 		Clock:      deps.Clock,
-		Client:     outbound.Client(d.transport),
+		Engine:     &engine.Client{HTTP: outbound.Client(d.transport), CallTimeout: loadTimeout},
 		Self:       d.deps.Settings.Name,
 		DataCentre: d.deps.Settings.DataCentre,
 		Poll:       loadPoll,
-		Timeout:    loadTimeout,
 	})
 	d.duties = d.newDuties()
 	d.newRequestPath()
--- a/internal/fake/fakeengine/engine_test.go
+++ b/internal/fake/fakeengine/engine_test.go
@@ -114,7 +114,7 @@
 	from.must(err)
 	kv, err := from.ExportKV(t.Context(), from.addr, "a")
 	from.must(err)
-	to.must(to.ImportKV(t.Context(), to.addr, "i", kv))
+	to.must(to.ImportKV(t.Context(), to.addr, kv))
 	req.KVHandle = kv.Handle
 	tail, _, err := to.generate("b", req, nil)
 	if err != nil || !slices.Equal(append(kv.Tokens, tail...), fakeengine.Tokens("p", 1, 5000)) {
@@ -136,7 +136,7 @@
 	go generate("low", engine.GenerateRequest{Prompt: "low", MaxTokens: 1})
 	go generate("high", engine.GenerateRequest{Prompt: "high", MaxTokens: 1, Priority: 1})
 	for waiting := 0; waiting < 2; {
-		load, err := c.Load(t.Context(), c.addr, "l")
+		load, err := c.Load(t.Context(), c.addr)
 		c.must(err)
 		waiting = load.Waiting
 	}
