Engine client: orders are checked at the write again

A holder that stood still between its check and the write could send an order after its lease had ended. The client names the type now, so that the compiler sees a rename.

TestOrderIsCheckedAtTheWrite failed before. The two other users of lease.Conn name the type already.

--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cumincove/cumincove/infra"
+	"github.com/cumincove/cumincove/lease"
 	"github.com/google/uuid"
 )
 
@@ -161,20 +162,14 @@
 	return nil
 }
 
-// checkedConn is a connection that calls a check before each write; see
-// lease.Conn.
-type checkedConn interface {
-	Require(check func() error)
-}
-
 // send sends a request and returns the engine's response. It returns an error if
 // the response is not a successful one.
 func (c *Client) send(ctx context.Context, method, addr, path, id string, in any) (*http.Response, error) {
 	var connected bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected = true
-		if c, ok := info.Conn.(checkedConn); ok {
-			c.Require(func() error { return infra.Guard(ctx) })
+		if c, ok := info.Conn.(*lease.Conn); ok {
+			c.SetCheck(func() error { return infra.Guard(ctx) })
 		}
 	}}
 	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), method, "http://"+addr+path, in)
