Clients: heads count by their fields, and little is read ahead

A caller's head counted with twice its text beyond 4 KB free. What it becomes once parsed did not count: an entry of a map, a slice and two strings a field, 15 bytes in memory for each byte of the shortest fields. Heads of endpoints counted by field already; both use package headmeter now, with 16 KB of memory free and, behind TLS, where fields can't be seen, 32 bytes a byte. TestEstimateCoversMemory holds the estimate against the memory that net/http takes.

What net/http reads of the next head with the end of a request is bounded to 1 KB, as it is parsed without a read that could count it.

TestEvictedHead sends a longer head, as it counts less.

--- a/attempt/metered.go
+++ b/attempt/metered.go
@@ -7,19 +7,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cumincove/cumincove/internal/headmeter"
 	"github.com/cumincove/cumincove/membudget"
 )
 
-const (
-	// freeHeadMemory is the part of the memory of a head that does not count towards
-	// the budget, in bytes, so that ordinary heads don't.
-	freeHeadMemory = 16 << 10
-	// fieldMemory is the memory of a header field beside its text, in bytes: an entry of
-	// a map, a slice and two strings, with what the map leaves as it grows.
-	fieldMemory = 320
-	// budgetTeam is the team of what endpoints send. Together they leave room to callers.
-	budgetTeam = "responses of endpoints"
-)
+// budgetTeam is the team of what endpoints send. Together they leave room to callers.
+const budgetTeam = "responses of endpoints"
 
 // errMemoryFull is returned if there is no memory for what an endpoint sends.
 var errMemoryFull = errors.New("attempt: no memory for the response")
@@ -44,7 +37,7 @@
 	// heads counts the heads. Only the goroutine that sends uses it.
 	heads uint64
 	// head is the head with number current. Only the goroutine that reads uses both.
-	head    headMeter
+	head    headmeter.Meter
 	current uint64
 }
 
@@ -92,11 +85,9 @@
 		return n, err
 	}
 	if expected != c.current {
-		c.current, c.head = expected, headMeter{}
+		c.current, c.head = expected, headmeter.Meter{Responses: true}
 	}
-	before := max(c.head.memory, freeHeadMemory)
-	c.head.add(p[:n])
-	if grown := c.head.memory - before; grown > 0 && !c.grow(grown) {
+	if grown := c.head.Add(p[:n]); grown > 0 && !c.grow(grown) {
 		return 0, errMemoryFull
 	}
 	return n, err
@@ -113,61 +104,3 @@
 	}
 	return h.Grow(n)
 }
-
-// headMeter estimates the memory of a head as it is read. Provisional responses before
-// the final one count, too.
-type headMeter struct {
-	memory int64
-	// line is the number of bytes of the current line without its end, and status the
-	// position in a status line: before the first space, before the status, or after
-	// its first digit.
-	line   int
-	status statusPosition
-	// provisional is set if the current head has a status of 100 to 199.
-	provisional bool
-	// complete is set at the end of a head that is not provisional.
-	complete bool
-}
-
-type statusPosition int
-
-const (
-	atProtocol statusPosition = iota
-	atSpace
-	afterClass
-)
-
-func (m *headMeter) add(p []byte) {
-	for _, b := range p {
-		if m.complete {
-			return
-		}
-		m.memory++
-		m.addToStatus(b)
-		switch {
-		case b == '\n':
-			m.endLine()
-		case b != '\r':
-			m.line++
-		}
-	}
-}
-
-func (m *headMeter) addToStatus(b byte) {
-	switch {
-	case m.status == atProtocol && b == ' ':
-		m.status = atSpace
-	case m.status == atSpace && b != ' ':
-		m.status = afterClass
-		m.provisional = b == '1'
-	}
-}
-
-func (m *headMeter) endLine() {
-	m.memory += fieldMemory
-	if m.line == 0 {
-		m.complete = !m.provisional
-		m.status = atProtocol
-	}
-	m.line = 0
-}
--- a/internal/daemon/timedconn.go
+++ b/internal/daemon/timedconn.go
@@ -11,17 +11,17 @@
 
 	"github.com/cumincove/cumincove/api"
 	"github.com/cumincove/cumincove/code"
+	"github.com/cumincove/cumincove/internal/headmeter"
 	"github.com/cumincove/cumincove/membudget"
 )
 
-const (
-	// freeHeadBytes is the part of a head that does not count towards the memory for
-	// requests. Ordinary heads are smaller, and connections are bounded in number.
-	freeHeadBytes = 4 << 10
-	// headFactor is the memory of a head while it is parsed, in multiples of its
-	// size.
-	headFactor = 2
-)
+// readAhead bounds what is read of the next head together with the end of a request, in
+// bytes, because it counts towards the memory of the connection only.
+const readAhead = 1 << 10
+
+// serverBuffer is the size of the buffer through which net/http reads heads and the ends of
+// bodies, in bytes. It reads larger parts of a body without it.
+const serverBuffer = 4 << 10
 
 // sweepTimeouts makes the server enforce timeouts, which may change while it serves,
 // instead of those of its http.Server. The listener must be a timedListener.
@@ -52,9 +52,8 @@
 	state  *connState
 	budget *membudget.Budget
 	plain  bool
-	// head is the number of bytes of the current head. Only the goroutine that reads
-	// uses it.
-	head int64
+	// head is the memory of the current head. Only the goroutine that reads uses it.
+	head headmeter.Meter
 	// hold is the memory of the current head, nil if it is small.
 	hold atomic.Pointer[membudget.Hold]
 	// body is the body that is being read, nil if there is none.
@@ -80,31 +79,44 @@
 // http.Server reports only complete headers. It ends the connection if the header
 // does not fit the memory for requests.
 func (c *timedConn) Read(p []byte) (int, error) {
+	if len(p) <= serverBuffer {
+		p = p[:min(len(p), readAhead)]
+	}
 	n, err := c.Conn.Read(p)
 	if c.state.in(connServing) {
 		return n, err
 	}
 	if n > 0 && !c.state.in(connHeader) {
-		c.head = 0
+		c.head = headmeter.Meter{}
 		c.state.enter(connHeader)
 	}
-	c.head += int64(n)
-	if c.head > freeHeadBytes && !c.growHead(int64(n)) {
+	if !c.growHead(c.meterHead(p[:n])) {
 		c.refuse()
 		return 0, io.EOF
 	}
 	return n, err
 }
 
-// growHead adds bytes of the current head. It reports false if they don't fit or if
+// meterHead returns the memory that bytes of the current head add.
+func (c *timedConn) meterHead(p []byte) int64 {
+	if c.plain {
+		return c.head.Add(p)
+	}
+	return c.head.AddOpaque(len(p))
+}
+
+// growHead adds memory of the current head. It reports false if it does not fit or if
 // the head was evicted.
 func (c *timedConn) growHead(n int64) bool {
 	h := c.hold.Load()
+	if h == nil && n == 0 {
+		return true
+	}
 	if h == nil {
 		h = c.budget.Open("", func() { _ = c.SetReadDeadline(time.Unix(1, 0)) }) // the read fails at once
 		c.hold.Store(h)
 	}
-	return h.Grow(headFactor * n)
+	return h.Grow(n)
 }
 
 // refuse responds that there is no memory for the request. The server writes
