Attempt: a connection remembers its last 512 IDs and stays open

The crowd tests caught what the first form cost: a connection closed after 512 requests, so an endpoint that serves many lost its idle connections at times, and with them the preference of requests that come one after the other.

--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -274,11 +274,11 @@
 	}
 }
 
-// canCarryRequest reports whether the connection can carry another request now. After
+// canCarryRequest reports whether the connection can carry a request now. After
 // the last byte of a response the transport may be about to close the
 // connection, which then has no error yet, but is not available either.
 func (c *conn) canCarryRequest() bool {
-	return !c.carried.full() && c.cc.Available() > 0
+	return c.cc.Available() > 0
 }
 
 // discard closes a connection that was in use.
