Clients: connections by what they take at worst, and a bound on what the kernel receives

Connections were taken for 20 KB each and allowed a quarter of the memory at callers, a quarter at peers, a sixteenth at each other listener. Measured, one whose request waits takes 37 KB in the runtime; one that sends on fills the kernel's receive buffer, 64 KB at once and more later, which counts towards memory-mb. With 8,200 descriptors nothing else bounds them.

- A connection is taken for 80 KB, 32 of them received and not read; a quarter of the memory is for those of all listeners together.
- Listeners set the receive buffer; it is wider while a large body is read, for a sixteenth of the memory for requests in all.
Connections to endpoints keep 64 KB.
- The runtime's soft limit leaves room for what the kernel keeps; it is computed beside the limits.

A counted hold for each connection was weighed: the kernel doesn't ask.

--- a/attempt/dial.go
+++ b/attempt/dial.go
@@ -64,3 +64,21 @@
 	}
 	return setErr
 }
+
+// SetReceiveBuffer bounds what the kernel keeps of what a connection, or each that a
+// listener accepts, has received and nobody has read, in bytes. It does nothing for other
+// types than those of package net.
+func SetReceiveBuffer(c any, bytes int) {
+	conn, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return // it is closed
+	}
+	_ = raw.Control(func(fd uintptr) {
+		// The kernel doubles the value. If it refuses it, its own bound stays.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
+	})
+}
--- a/attempt/metered.go
+++ b/attempt/metered.go
@@ -11,8 +11,13 @@
 	"github.com/cumincove/cumincove/membudget"
 )
 
-// budgetTeam is the team of what endpoints send. Together they leave room to callers.
-const budgetTeam = "responses of endpoints"
+const (
+	// budgetTeam is the team of what endpoints send. Together they leave room to callers.
+	budgetTeam = "responses of endpoints"
+	// receiveBuffer bounds what the kernel has received on a connection to an endpoint and
+	// nobody has read, in bytes, because the caller does not take it.
+	receiveBuffer = 64 << 10
+)
 
 // errMemoryFull is returned if there is no memory for what an endpoint sends.
 var errMemoryFull = errors.New("attempt: no memory for the response")
@@ -50,6 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
+	SetReceiveBuffer(c, receiveBuffer)
 	m := &meteredConn{Conn: c, pool: p}
 	if place, ok := ctx.Value(meteredKey{}).(**meteredConn); ok {
 		*place = m
--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -42,27 +42,14 @@
 	app.FatalIfError(err, "%s", *file)
 }
 
-const (
-	// memoryShare is the runtime's soft memory limit, in percent of the process's
-	// memory limit. The rest is for memory that the runtime does not manage, and at
-	// least unmanagedMB: the program itself and the C library.
-	memoryShare = 70
-	unmanagedMB = 24
-)
-
-// softMemoryLimit returns the runtime's soft memory limit, in bytes.
-func softMemoryLimit(memoryMB int) int64 {
-	return int64(max(min(memoryMB*memoryShare/100, memoryMB-unmanagedMB), memoryMB/2)) << 20
-}
-
 func serve(file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(min(s.Limits.Processors, runtime.GOMAXPROCS(0)))
-	if mb := s.Limits.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(softMemoryLimit(mb))
+	if n := daemon.SoftMemoryLimit(s.Limits); n > 0 {
+		debug.SetMemoryLimit(n)
 	}
 	scope, metrics, closer := telemetry.NewMetrics(s.Name)
 	defer closer.Close()
--- a/internal/daemon/bounds.go
+++ b/internal/daemon/bounds.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// surplusConns is the number of connections over the limit whose requests
-	// are refused with an error code. Further connections are closed immediately.
-	surplusConns = 64
 	// headerSlack is the factor by which a header may exceed the limit and still
 	// be refused with an error code. Larger headers are refused by net/http itself.
 	headerSlack = 4
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -22,9 +22,12 @@
 
 func (d *Daemon) listen() ([]*server, error) {
 	l, tls := d.deps.Settings.Listen, d.deps.TLS
-	open := listeners{open: d.deps.Listen, limits: d.deps.Settings.Limits, budget: d.budget, log: d.deps.Log}
+	open := listeners{open: d.deps.Listen, limits: d.deps.Settings.Limits, budget: d.budget, wide: newWideBuffers(d.clientLimits.memory), log: d.deps.Log}
 	return open.openAll([]listenerSpec{
-		{name: "callers", addr: l.Callers, maxConns: d.clientLimits.callers, callers: true, tls: tls.Callers, h: withOKCode(d.callerHandler())},
+		{
+			name: "callers", addr: l.Callers, maxConns: d.clientLimits.callers, surplus: d.clientLimits.surplus, callers: true,
+			tls: tls.Callers, h: withOKCode(d.callerHandler()),
+		},
 		{
 			name: peersListener, addr: l.Peers, maxConns: d.clientLimits.peers, tls: tls.Peers,
 			protocols: []string{http2, http11}, http2: true, metered: true, h: d.peerHandler(),
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 
+	"github.com/cumincove/cumincove/attempt"
 	"github.com/cumincove/cumincove/internal/tlsfile"
 	"github.com/cumincove/cumincove/membudget"
 	"github.com/cumincove/cumincove/settings"
@@ -14,10 +15,11 @@
 // listenerSpec describes a listener and what it serves.
 type listenerSpec struct {
 	name, addr string
-	// maxConns bounds the open connections.
-	maxConns int
-	// callers is set if callers connect. Those over the limit get an error code, and
-	// requests are refused while the instance shuts down.
+	// maxConns bounds the open connections. The requests of surplus further ones are
+	// refused with an error code.
+	maxConns, surplus int
+	// callers is set if callers connect. Their requests are refused while the instance
+	// shuts down.
 	callers bool
 	// timeouts returns the timeouts of connections that are not encrypted. The
 	// defaults apply to others, and if it is nil.
@@ -37,6 +39,7 @@
 	open   func(network, addr string) (net.Listener, error)
 	limits settings.Limits
 	budget *membudget.Budget
+	wide   *wideBuffers
 	log    *slog.Logger
 }
 
@@ -59,9 +62,10 @@
 	if err != nil {
 		return nil, err
 	}
-	bounded := &boundedListener{Listener: withBacklog(ln), max: int64(spec.maxConns)}
+	attempt.SetReceiveBuffer(ln, receiveBuffer)
+	bounded := &boundedListener{Listener: withBacklog(ln), max: int64(spec.maxConns), surplus: int64(spec.surplus)}
 	if spec.callers {
-		bounded.surplus, bounded.keepIdle = surplusConns, callerKeepIdle
+		bounded.keepIdle = callerKeepIdle
 	}
 	h := spec.h
 	if spec.metered {
@@ -71,7 +75,7 @@
 	if spec.http2 {
 		hs.Protocols = allProtocols()
 	}
-	timed := &timedListener{Listener: bounded, budget: l.budget, plain: spec.tls == nil}
+	timed := &timedListener{Listener: bounded, budget: l.budget, wideBuffers: l.wide, plain: spec.tls == nil}
 	s := newServer(spec.name, spec.tls.Listener(timed, spec.protocols...), hs)
 	bounded.makeRoom = s.makeRoom
 	s.refusesOnStop = spec.callers
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -32,15 +32,15 @@
 
 func (m *Managed) listen() ([]*server, error) {
 	l, tls, c, sys := m.deps.Settings.Listen, m.deps.TLS, m.clientLimits, m.system()
-	open := listeners{open: m.deps.Network.Listen, limits: m.deps.Settings.Limits, budget: m.budget, log: m.deps.Log}
+	open := listeners{open: m.deps.Network.Listen, limits: m.deps.Settings.Limits, budget: m.budget, wide: newWideBuffers(c.memory), log: m.deps.Log}
 	return open.openAll([]listenerSpec{
 		{
-			name: "callers", addr: l.Callers, maxConns: c.callers, callers: true, timeouts: m.connTimeouts,
-			tls: tls.Callers, h: m.deps.Adapter.Callers(sys),
+			name: "callers", addr: l.Callers, maxConns: c.callers, surplus: c.surplus, callers: true,
+			timeouts: m.connTimeouts, tls: tls.Callers, h: m.deps.Adapter.Callers(sys),
 		},
 		{name: peersListener, addr: l.Peers, maxConns: c.peers, tls: tls.Peers, metered: true, h: m.peerHandler()},
 		{name: "readiness", addr: l.Readiness, maxConns: c.others, h: m.deps.Adapter.Readiness(sys)},
-		{name: "entries", addr: l.Entries, maxConns: c.others, h: m.deps.Adapter.Entries(sys)},
+		{name: "entries", addr: l.Entries, maxConns: c.entries, h: m.deps.Adapter.Entries(sys)},
 		{name: "operators", addr: l.Operators, maxConns: c.others, tls: tls.Operators, h: m.monitoring()},
 	})
 }
--- a/internal/daemon/timedconn.go
+++ b/internal/daemon/timedconn.go
@@ -34,8 +34,9 @@
 // arrive, bound the memory of heads, and bound the time of writes.
 type timedListener struct {
 	net.Listener
-	budget *membudget.Budget
-	plain  bool // without TLS
+	budget      *membudget.Budget
+	wideBuffers *wideBuffers
+	plain       bool // without TLS
 }
 
 // Accept waits for a connection.
@@ -44,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &timedConn{Conn: c, state: newConnState(), budget: l.budget, plain: l.plain}, nil
+	return &timedConn{Conn: c, state: newConnState(), budget: l.budget, wideBuffers: l.wideBuffers, plain: l.plain}, nil
 }
 
 type timedConn struct {
@@ -56,6 +57,9 @@
 	head headmeter.Meter
 	// hold is the memory of the current head, nil if it is small.
 	hold atomic.Pointer[membudget.Hold]
+	// wide is set while the connection has one of wideBuffers.
+	wide        atomic.Bool
+	wideBuffers *wideBuffers
 	// body is the body that is being read, nil if there is none.
 	body atomic.Pointer[watchedBody]
 	// writeOwned is set while a handler has set a deadline for writes.
@@ -150,17 +154,19 @@
 	}
 }
 
-// releaseHead releases the memory of the current head.
+// releaseHead releases the memory of the current head, and a wide receive buffer.
 func (c *timedConn) releaseHead() {
 	if c == nil {
 		return
 	}
 	c.hold.Swap(nil).Close()
+	c.narrow()
 }
 
 // Close closes the connection.
 func (c *timedConn) Close() error {
 	c.hold.Load().Close()
+	c.narrow()
 	return c.Conn.Close()
 }
 
--- a/internal/daemon/watchedbody.go
+++ b/internal/daemon/watchedbody.go
@@ -21,6 +21,8 @@
 	io.ReadCloser
 	conn *timedConn // nil without a timedListener
 
+	read int64 // bytes
+
 	mu      sync.Mutex
 	since   time.Time // start of the current read; zero if there is none
 	evicted bool
@@ -34,6 +36,9 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := b.ReadCloser.Read(p)
+	if b.read += int64(n); b.read > wideAfter && b.conn != nil {
+		b.conn.widen()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.since = time.Time{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,8 +107,9 @@
 	AnswerBytes int64 `json:"answer_bytes" unit:"bytes" min:"65536" max:"1099511627776"`
 	// Connections bounds the number of open connections from callers; it does not
 	// apply to other instances and operators. The limit on descriptors and memory_mb
-	// may lower it: three eighths of the descriptors, and a quarter of the memory, may
-	// be used for them.
+	// may lower it: three eighths of the descriptors may be used for them, and an eighth
+	// of the memory, at 80 KB each. The largest part of that is what the kernel keeps of
+	// what a connection has received and nobody has read.
 	Connections int `json:"connections" unit:"connections" min:"1" max:"1000000"`
 	// Descriptors is the number of descriptors that the machine provides to the
 	// program, from which the limits on connections follow. Of them 200 are reserved
