Operators: profiles are made one at a time

Profiles are for one operator: a further one is refused while one is sent, with code 2006. TestOneProfileAtATime.

--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net"
 	"net/http"
-	"net/http/pprof"
 	"time"
 
 	"github.com/cumincove/cumincove/attempt"
@@ -76,7 +75,6 @@
 func (m *Managed) monitoring() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.deps.Metrics)
-	mux.HandleFunc("/debug/pprof/", pprof.Index)
-	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.Handle("/debug/pprof/", profiles())
 	return mux
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net/http"
-	"net/http/pprof"
 	"strconv"
 
 	"github.com/cumincove/cumincove/api"
@@ -39,8 +38,7 @@
 
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", d.operatorsOnly(methods))
-	mux.Handle("/debug/pprof/", d.operatorsOnly(http.HandlerFunc(pprof.Index)))
-	mux.Handle("/debug/pprof/profile", d.operatorsOnly(http.HandlerFunc(pprof.Profile)))
+	mux.Handle("/debug/pprof/", d.operatorsOnly(profiles()))
 	mux.Handle("GET /metrics", d.deps.Metrics)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", d.serveReady)
