Log: queued lines are bounded in bytes; the library's own lines are debug lines

The queue has 1 MB. And net/http writes a line to the standard logger for each unsolicited answer, with up to 4 KB of it quoted and no bound on the rate; such lines are debug lines now, which are off.

--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"log/slog"
 	"net"
 	"net/http"
@@ -56,6 +57,7 @@
 	log, logCloser := telemetry.NewLog(os.Stdout, scope)
 	defer logCloser.Close()
 	log = log.With("instance", s.Name)
+	quietLibraries(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go checkSettingsOnHangup(ctx, notifyHangup(), file, s, log)
@@ -69,6 +71,13 @@
 	return nil
 }
 
+// quietLibraries passes what libraries write to the standard logger to log, as debug lines.
+// They quote what endpoints send, without a bound on the rate.
+func quietLibraries(log *slog.Logger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(slog.NewLogLogger(log.Handler(), slog.LevelDebug).Writer())
+}
+
 // notifyHangup returns a channel that receives each SIGHUP until the process
 // ends. The signal stays caught during a shutdown too, because the default action
 // of SIGHUP would end the process.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -16,6 +17,9 @@
 	// queued, only warnings and errors are accepted.
 	queueLines    = 4096
 	warnOnlyLines = queueLines * 3 / 4
+	// queueBytes bounds the memory of the queued lines, because clients choose a part of
+	// their text.
+	queueBytes = 1 << 20
 	// messageRate bounds the lines with the same message per second. The bound
 	// for warnings and errors is warnFactor times as high.
 	messageRate = 200
@@ -43,6 +47,8 @@
 	// apply.
 	currentSecond int64
 	queued        atomic.Int64
+	// queuedBytes is the size of the queued lines.
+	queuedBytes atomic.Int64
 }
 
 // messageCounts counts the lines with one message.
@@ -62,14 +68,27 @@
 // Write queues a copy of a line. It is called by the JSON handler, which reuses
 // its buffer.
 func (l *Log) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
+	if !l.enqueue(p) {
+		l.scope.Counter("log_lines_dropped").Inc(1)
+	}
+	return len(p), nil
+}
+
+// enqueue queues a copy of a line. It reports false if the queue is full.
+func (l *Log) enqueue(p []byte) bool {
+	n := int64(len(p))
+	if l.queuedBytes.Add(n) > queueBytes {
+		l.queuedBytes.Add(-n)
+		return false
+	}
 	select {
-	case l.lines <- line:
+	case l.lines <- bytes.Clone(p):
 		l.queued.Add(1)
+		return true
 	default:
-		l.scope.Counter("log_lines_dropped").Inc(1)
+		l.queuedBytes.Add(-n)
+		return false
 	}
-	return len(p), nil
 }
 
 // Close stops the background writer after it has written the queued lines. If
@@ -102,6 +121,7 @@
 
 func (l *Log) write(line []byte) {
 	l.queued.Add(-1)
+	l.queuedBytes.Add(-int64(len(line)))
 	_, _ = l.out.Write(line) // there is no other output to which an error could be reported
 }
 
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -43,6 +44,38 @@
 	})
 }
 
+// TestLogBoundsMemory guards against lines with long texts of clients that take the memory
+// while the output blocks.
+func TestLogBoundsMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lines, text, most = 5000, 16 << 10, 4 << 20
+		out := blockedWriter{make(chan struct{})}
+		log, closer := telemetry.NewLog(out, tally.NoopScope)
+		id := strings.Repeat("x", text)
+		before := heap()
+		for range lines {
+			log.Info("request failed", "request", id)
+			time.Sleep(10 * time.Millisecond) // within the rate of a message
+		}
+		if grown := heap() - before; grown > most {
+			t.Errorf("the queue takes %d bytes, want at most %d", grown, most)
+		}
+		if err := closer.Close(); err != nil {
+			t.Error(err)
+		}
+		close(out.block)
+		synctest.Wait()
+	})
+}
+
+// heap returns the memory in use.
+func heap() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // TestLogBoundsRatePerMessage checks that a message whose rate exceeds the
 // bound does not displace lines with other messages, and that its dropped lines
 // are reported.
