--- a/cmd/cumincoved/main.go
+++ b/cmd/cumincoved/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -30,21 +31,42 @@
 func main() {
 	app := kingpin.New("cumincoved", "Runs one instance of the rollout service.")
 	file := app.Flag("config", "Settings file, JSON with comments.").Short('c').Required().ExistingFile()
+	descriptors := app.Flag("descriptors", "Replaces limits.descriptors of the settings file, unless it is empty.").String()
 	run := app.Command("run", "Serve until SIGTERM, then shut down gracefully.").Default()
 	check := app.Command("check", "Check the settings file and report every fault in it.")
 
 	var err error
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case run.FullCommand():
-		err = serve(*file)
+		err = serve(source{*file, *descriptors})
 	case check.FullCommand():
-		_, err = settings.Load(*file)
+		_, err = source{*file, *descriptors}.load()
 	}
 	app.FatalIfError(err, "%s", *file)
 }
 
-func serve(file string) error {
-	s, err := settings.Load(file)
+// source is where the settings come from.
+type source struct {
+	file string
+	// descriptors replaces limits.descriptors of the file unless it is empty.
+	descriptors string
+}
+
+func (src source) load() (settings.Settings, error) {
+	s, err := settings.Load(src.file)
+	if err != nil || src.descriptors == "" {
+		return s, err
+	}
+	n, err := strconv.ParseUint(src.descriptors, 10, 31)
+	if err != nil {
+		return s, fmt.Errorf("--descriptors: %w", err)
+	}
+	s.Limits.Descriptors = int(n)
+	return s, nil
+}
+
+func serve(src source) error {
+	s, err := src.load()
 	if err != nil {
 		return err
 	}
@@ -60,7 +82,7 @@
 	quietLibraries(log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go checkSettingsOnHangup(ctx, notifyHangup(), file, s, log)
+	go checkSettingsOnHangup(ctx, notifyHangup(), src, s, log)
 	run := runSelfManaged
 	if s.Platform.Kind == settings.KindManaged {
 		run = runManaged
@@ -89,16 +111,16 @@
 
 // checkSettingsOnHangup reads the settings file again at each SIGHUP and logs
 // the result. Changed settings take effect at the next start.
-func checkSettingsOnHangup(ctx context.Context, hangups chan os.Signal, file string, running settings.Settings, log *slog.Logger) {
+func checkSettingsOnHangup(ctx context.Context, hangups chan os.Signal, src source, running settings.Settings, log *slog.Logger) {
 	for {
 		select {
 		case <-hangups:
-			s, err := settings.Load(file)
+			s, err := src.load()
 			if err != nil {
-				log.Error("settings file is invalid", "file", file, "error", err)
+				log.Error("settings file is invalid", "file", src.file, "error", err)
 				continue
 			}
-			log.Info("settings file read again", "file", file, "restart_needed", s != running)
+			log.Info("settings file read again", "file", src.file, "restart_needed", s != running)
 		case <-ctx.Done():
 			return
 		}
--- a/cmd/cumincoved/main_test.go
+++ b/cmd/cumincoved/main_test.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	var out buffer
 	hangups := notifyHangup()
-	go checkSettingsOnHangup(ctx, hangups, file, settings.Default(), slog.New(slog.NewTextHandler(&out, nil)))
+	go checkSettingsOnHangup(ctx, hangups, source{file: file}, settings.Default(), slog.New(slog.NewTextHandler(&out, nil)))
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
@@ -64,7 +64,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	hangups := notifyHangup()
 	cancel()
-	checkSettingsOnHangup(ctx, hangups, "", settings.Default(), slog.New(slog.DiscardHandler))
+	checkSettingsOnHangup(ctx, hangups, source{}, settings.Default(), slog.New(slog.DiscardHandler))
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
@@ -73,3 +73,19 @@
 	case <-t.Context().Done():
 	}
 }
+
+// TestDescriptorsFlag checks that the flag replaces the setting, also if it is empty because
+// the platform has no value for it.
+func TestDescriptorsFlag(t *testing.T) {
+	const file = "../../examples/first/entry-1.jsonc"
+	for _, c := range []struct {
+		flag string
+		want int
+		ok   bool
+	}{{"", 0, true}, {"8200", 8200, true}, {"x", 0, false}, {"-1", 0, false}} {
+		s, err := source{file, c.flag}.load()
+		if (err == nil) != c.ok || c.ok && s.Limits.Descriptors != c.want {
+			t.Errorf("flag %q: %d descriptors, error %v", c.flag, s.Limits.Descriptors, err)
+		}
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -114,7 +114,7 @@
 	// Descriptors is the number of descriptors that the machine provides to the
 	// program, from which the limits on connections follow. Of them 200 are reserved
 	// for files. A lower limit of the process replaces it, and zero means that limit
-	// alone.
+	// alone. The flag --descriptors replaces the setting.
 	Descriptors int `json:"descriptors,omitempty" unit:"descriptors" min:"0" max:"10000000"`
 	// InFlight bounds the number of requests in flight at this instance.
 	InFlight int `json:"in_flight" unit:"requests" min:"1" max:"1000000"`
