Steps: an owner looks at the end again after it has loaded a step

Cause: it reads that a step is open, becomes its owner, reads the rows for seconds, and starts samples by what it read first; the first check comes a quarter of a second after the start. It reads the state once more now and doesn't run a step that has ended or has another owner; the same for an owner that goes on with its own step.

--- a/controller/steps/takeover.go
+++ b/controller/steps/takeover.go
@@ -9,8 +9,12 @@
 	"github.com/cumincove/cumincove/infra"
 )
 
-// errReplaced is returned if another instance became the owner of a step.
-var errReplaced = errors.New("steps: another instance became the owner")
+var (
+	// errReplaced is returned if another instance became the owner of a step.
+	errReplaced = errors.New("steps: another instance became the owner")
+	// errEnded is returned if a step has ended.
+	errEnded = errors.New("steps: the step has ended")
+)
 
 // inBackground locks a step, calls claim, and unlocks the step. It does nothing if the
 // step is locked. At most maxClaims calls run at a time.
@@ -153,10 +157,11 @@
 		c.o.Log.Info("step not adopted yet", "step", id, "error", err)
 		return
 	}
+	if err := c.startLoaded(ctx, t, l, s.ownerVersion); err != nil {
+		c.o.Log.Info("step not adopted", "step", id, "error", err)
+		return
+	}
 	c.o.Log.Info("step adopted", "step", id, "results", len(l.results))
-	r := newRunner(c, l.step, t, s.ownerVersion, l.results)
-	r.savedVersions = l.savedVersions
-	c.startRunner(r)
 }
 
 // takeOver makes this instance the owner of a step and continues from the step's
@@ -178,14 +183,49 @@
 		c.o.Log.Warn("step taken over, but its rows could not be read", "step", id, "error", err)
 		return err
 	}
+	if err := c.startLoaded(ctx, t, l, version); err != nil {
+		c.o.Log.Info("step taken over, but not run", "step", id, "error", err, "took", c.o.Clock.Now()-began)
+		return err
+	}
 	c.o.Log.Info("step taken over", "step", id, "from", s.owner.Instance, "incarnation", s.owner.Incarnation,
 		"results", len(l.results), "saved", len(l.savedVersions), "told", len(reported), "took", c.o.Clock.Now()-began)
-	r := newRunner(c, l.step, t, version, l.results)
+	return nil
+}
+
+// startLoaded runs a step that was loaded. It reads the step's state once more first,
+// because loading can take seconds: a step that has ended meanwhile is not run, nor one
+// that has another owner.
+func (c *Controller) startLoaded(ctx context.Context, t infra.Table, l loadedStep, ownerVersion uint64) error {
+	id := l.step.Spec().ID
+	s, err := c.readStateUntil(ctx, t)
+	if err != nil {
+		return err
+	}
+	switch {
+	case s.ended:
+		c.recordOwner(id, s)
+		return errEnded
+	case s.ownerVersion != ownerVersion:
+		c.recordOwner(id, s)
+		return errReplaced
+	}
+	r := newRunner(c, l.step, t, ownerVersion, l.results)
 	r.savedVersions = l.savedVersions
 	c.startRunner(r)
 	return nil
 }
 
+// readStateUntil reads the state of a step, and retries until ctx ends.
+func (c *Controller) readStateUntil(ctx context.Context, t infra.Table) (state, error) {
+	var pause backoff
+	for {
+		s, err := c.readState(ctx, t)
+		if err == nil || pause.wait(ctx) != nil {
+			return s, err
+		}
+	}
+}
+
 // writeOwner makes this instance the owner of a step whose owner's row has the given
 // version, and returns the row's new version. If the outcome of a write is unknown,
 // it reads the row, and writes again if the row is unchanged, until the outcome is
