--- a/attempt/pool.go
+++ b/attempt/pool.go
@@ -79,7 +79,7 @@
 
 // conn is one connection, used by one request at a time. It is used again only while every
 // answer that may still arrive on it can be told from the one that is expected: its last
-// answer bore its request's ID, and it carries no ID twice.
+// answer bore its request's ID, and the next request has an ID that it has not carried.
 type conn struct {
 	cc      *http.ClientConn
 	raw     *meteredConn
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -22,7 +22,10 @@
 
 func (d *Daemon) listen() ([]*server, error) {
 	l, tls := d.deps.Settings.Listen, d.deps.TLS
-	open := listeners{open: d.deps.Listen, limits: d.deps.Settings.Limits, budget: d.budget, wide: newWideBuffers(d.clientLimits.memory), log: d.deps.Log}
+	open := listeners{
+		open: d.deps.Listen, limits: d.deps.Settings.Limits,
+		budget: d.budget, wide: newWideBuffers(d.clientLimits.memory), log: d.deps.Log,
+	}
 	return open.openAll([]listenerSpec{
 		{
 			name: "callers", addr: l.Callers, maxConns: d.clientLimits.callers, surplus: d.clientLimits.surplus, callers: true,
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -75,7 +75,9 @@
 	if spec.http2 {
 		hs.Protocols = allProtocols()
 	}
-	timed := &timedListener{Listener: bounded, budget: l.budget, wideBuffers: l.wide, plain: spec.tls == nil}
+	timed := &timedListener{
+		Listener: bounded, budget: l.budget, wideBuffers: l.wide, plain: spec.tls == nil, http2: spec.http2,
+	}
 	s := newServer(spec.name, spec.tls.Listener(timed, spec.protocols...), hs)
 	bounded.makeRoom = s.makeRoom
 	s.refusesOnStop = spec.callers
--- a/internal/daemon/managed_listen.go
+++ b/internal/daemon/managed_listen.go
@@ -31,7 +31,10 @@
 
 func (m *Managed) listen() ([]*server, error) {
 	l, tls, c, sys := m.deps.Settings.Listen, m.deps.TLS, m.clientLimits, m.system()
-	open := listeners{open: m.deps.Network.Listen, limits: m.deps.Settings.Limits, budget: m.budget, wide: newWideBuffers(c.memory), log: m.deps.Log}
+	open := listeners{
+		open: m.deps.Network.Listen, limits: m.deps.Settings.Limits,
+		budget: m.budget, wide: newWideBuffers(c.memory), log: m.deps.Log,
+	}
 	return open.openAll([]listenerSpec{
 		{
 			name: "callers", addr: l.Callers, maxConns: c.callers, surplus: c.surplus, callers: true,
--- a/internal/daemon/timedconn.go
+++ b/internal/daemon/timedconn.go
@@ -37,6 +37,7 @@
 	budget      *membudget.Budget
 	wideBuffers *wideBuffers
 	plain       bool // without TLS
+	http2       bool // may be used, whose heads are bounded by the library
 }
 
 // Accept waits for a connection.
@@ -45,7 +46,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &timedConn{Conn: c, state: newConnState(), budget: l.budget, wideBuffers: l.wideBuffers, plain: l.plain}, nil
+	return &timedConn{
+		Conn: c, state: newConnState(), budget: l.budget, wideBuffers: l.wideBuffers, plain: l.plain, http2: l.http2,
+	}, nil
 }
 
 type timedConn struct {
@@ -53,6 +56,7 @@
 	state  *connState
 	budget *membudget.Budget
 	plain  bool
+	http2  bool
 	// head is the memory of the current head. Only the goroutine that reads uses it.
 	head headmeter.Meter
 	// hold is the memory of the current head, nil if it is small.
@@ -83,7 +87,7 @@
 // http.Server reports only complete headers. It ends the connection if the header
 // does not fit the memory for requests.
 func (c *timedConn) Read(p []byte) (int, error) {
-	if len(p) <= serverBuffer {
+	if !c.http2 && len(p) <= serverBuffer {
 		p = p[:min(len(p), readAhead)]
 	}
 	n, err := c.Conn.Read(p)
